--- /dev/null
+++ b/bronzemux/answers.py
@@ -0,0 +1,304 @@
+"""Answers to callers: claims, execution, streams and their records."""
+
+import dataclasses
+import itertools
+import json
+from collections.abc import Iterator
+
+import gevent
+import gevent.queue
+
+from bronzemux import (
+    claims,
+    completion,
+    context,
+    engine,
+    engine_http,
+    errors,
+    forward,
+    http_client,
+    logs,
+    requests,
+    resume_token,
+    service_call,
+)
+
+STREAM_TYPE = "text/event-stream"
+RESUME_HEADER = "X-Resume-Token"
+REPLAY_HEADER = ("X-Idempotent-Replay", "true")
+QUEUE_PARTS = 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Finished:
+    """End of a background execution; the error is None after a whole answer."""
+
+    error: errors.RequestError | None
+
+
+def claim_outcome(claim: claims.Claim) -> errors.Outcome:
+    """Return what a claim says about the execution of its request."""
+    return errors.Outcome.RAN if claim.state is claims.State.DONE else errors.Outcome.UNKNOWN
+
+
+class Answer:
+    """Answer to one request; base of both kinds.
+
+    Args:
+      parts: Parts of the router.
+      request: The request.
+      call: WSGI side of the request.
+    """
+
+    def __init__(self, parts: context.Context, request: requests.Request, call):
+        self.parts = parts
+        self.request = request
+        self.call = call
+        self.claim: claims.Claim | None = None
+        self.tools = forward.Tools(parts.dispatcher, parts.engine_of, parts.clock, parts.meters)
+
+    def respond(self):
+        """Run the request and return the body for WSGI.
+
+        Raises:
+          errors.RequestError: When it is refused or fails before its first part.
+        """
+        self.parts.status.in_flight += 1
+        handed_over = False
+        try:
+            result = self._respond()
+            handed_over = isinstance(result, Iterator)
+            return result
+        except errors.RequestError as error:
+            self.record(error.status, error.outcome)
+            raise
+        finally:
+            if not handed_over:
+                self.parts.status.in_flight -= 1
+
+    def _respond(self):
+        head = self.request.head
+        if head.workload.idempotent:
+            return self.run()
+        found = self.parts.claims.begin(
+            head.team.name, head.idempotency_key, self.request.fingerprint
+        )
+        if isinstance(found, claims.StoredAnswer):
+            return self.replay(found)
+        self.claim = found
+        return self.run()
+
+    def run(self):
+        """Run the request and return the body for WSGI."""
+        raise NotImplementedError
+
+    def replay(self, stored: claims.StoredAnswer):
+        """Return the body of an answer that was stored before."""
+        raise NotImplementedError
+
+    def settle_failure(self, error: errors.RequestError) -> None:
+        """Record at the claim what is known after a failure."""
+        if self.claim is None:
+            return
+        if error.outcome is errors.Outcome.NOT_RUN:
+            self.parts.claims.release(self.claim)
+        else:
+            self.parts.claims.mark_unknown(self.claim)
+
+    def record(self, status: int, outcome: errors.Outcome, **fields) -> None:
+        """Count and log the end of the request."""
+        head = self.request.head
+        self.parts.meters.requests.labels(head.workload.name, outcome.value, str(status)).inc()
+        logs.event(
+            "request_done",
+            request=head.id,
+            team=head.team.name,
+            workload=head.workload.name,
+            status=status,
+            outcome=outcome.value,
+            seconds=self.parts.clock.monotonic() - head.arrived,
+            version=head.snapshot.version,
+            **fields,
+        )
+
+
+class ServiceAnswer(Answer):
+    """Answer of a plain service."""
+
+    def run(self):
+        """Run the request and return the body for WSGI."""
+        if self.claim is None:
+            return self._send(self._execute())
+        # The work goes on and is recorded even when the caller's connection is cut.
+        runner = gevent.spawn(self._execute_claimed)
+        result = runner.get()
+        if isinstance(result, errors.RequestError):
+            raise result
+        return self._send(result)
+
+    def _execute(self) -> service_call.ServiceAnswer:
+        settings = self.parts.settings
+        limits = http_client.Timeouts(settings.connect_seconds, settings.progress_seconds)
+        return service_call.ServiceExecution(self.request, self.tools, limits).answer()
+
+    def _execute_claimed(self) -> service_call.ServiceAnswer | errors.RequestError:
+        try:
+            answer = self._execute()
+        except errors.RequestError as error:
+            self.settle_failure(error)
+            return error
+        content_type = dict(answer.headers).get("Content-Type", "")
+        stored = claims.StoredAnswer(answer.status, content_type, (answer.body,))
+        self.parts.claims.finish(self.claim, stored)
+        return answer
+
+    def _send(self, answer: service_call.ServiceAnswer):
+        self.record(answer.status, errors.Outcome.RAN)
+        return self.call.answer_bytes(
+            answer.status, answer.body, answer.headers, errors.Outcome.RAN
+        )
+
+    def replay(self, stored: claims.StoredAnswer):
+        """Return the body of an answer that was stored before."""
+        headers = [("Content-Type", stored.content_type), REPLAY_HEADER]
+        self.record(stored.status, errors.Outcome.RAN, replayed=True)
+        return self.call.answer_bytes(stored.status, stored.parts[0], headers, errors.Outcome.RAN)
+
+
+class ModelAnswer(Answer):
+    """Answer of a model."""
+
+    request: requests.ModelRequest
+
+    def run(self):
+        """Run the request and return the body for WSGI."""
+        execution = forward.Execution(self.request, self.tools)
+        parts = execution.parts() if self.claim is None else self._background(execution)
+        if not self.request.wants_stream:
+            return self._whole(execution, list(parts))
+        first = next(parts)
+        self._observe_first_token()
+        headers = [(RESUME_HEADER, self._token(execution.origin))]
+        everything = itertools.chain((first,), parts)
+        return self.call.stream(self._events(execution, everything, parts), headers)
+
+    def replay(self, stored: claims.StoredAnswer):
+        """Return the body of an answer that was stored before."""
+        self.record(200, errors.Outcome.RAN, replayed=True)
+        if not self.request.wants_stream:
+            body = completion.assemble(self.request.path, stored.parts)
+            return self.call.answer(body, outcome=errors.Outcome.RAN)
+        numbered = enumerate(stored.parts)
+        events = [
+            engine_http.encode_event(n, data) for n, data in numbered if self._is_wanted(data)
+        ]
+        self.call.stream(iter(()), [REPLAY_HEADER])
+        return events
+
+    # Work that goes on without its caller
+
+    def _background(self, execution: forward.Execution) -> Iterator[engine.Part]:
+        """Iterate over parts of an execution that ends and is recorded even without a caller."""
+        queue = gevent.queue.Queue(QUEUE_PARTS)
+        runner = gevent.spawn(self._execute_claimed, execution, queue)
+        try:
+            while True:
+                item = queue.get()
+                if isinstance(item, Finished):
+                    if item.error is not None:
+                        raise item.error
+                    return
+                yield item
+        finally:
+            if not runner.ready():
+                gevent.spawn(_discard, queue)
+
+    def _execute_claimed(self, execution: forward.Execution, queue: gevent.queue.Queue) -> None:
+        try:
+            for part in execution.parts():
+                if part.data == engine.DONE:
+                    stored = claims.StoredAnswer(200, STREAM_TYPE, tuple(execution.sent))
+                    self.parts.claims.finish(self.claim, stored)
+                queue.put(part)
+        except errors.RequestError as error:
+            self.settle_failure(error)
+            queue.put(Finished(error))
+            return
+        queue.put(Finished(None))
+
+    # Forms of the answer
+
+    def _whole(self, execution: forward.Execution, parts: list[engine.Part]):
+        self._observe_first_token()
+        body = completion.assemble(self.request.path, [part.data for part in parts])
+        self._record_run(execution)
+        return self.call.answer(body, outcome=errors.Outcome.RAN)
+
+    def _events(self, execution, everything, source) -> Iterator[bytes]:
+        """Iterate over server-sent events; a failure becomes an event without an end mark."""
+        gap = self.parts.meters.token_gap.labels(self.request.head.workload.name)
+        clock = self.parts.clock
+        origin = execution.origin
+        last = clock.monotonic()
+        try:
+            for part in everything:
+                now = clock.monotonic()
+                gap.observe(now - last)
+                last = now
+                if execution.origin is not origin:
+                    origin = execution.origin
+                    yield f": resume-token {self._token(origin)}\n\n".encode()
+                if self._is_wanted(part.data):
+                    yield engine_http.encode_event(part.number, part.data)
+            self._record_run(execution)
+        except errors.RequestError as error:
+            self.record(error.status, error.outcome, broke_off=True)
+            yield error_event(error)
+        except GeneratorExit:
+            self.record(499, errors.Outcome.UNKNOWN, caller_left=True)
+            raise
+        finally:
+            source.close()
+            self.parts.status.in_flight -= 1
+
+    def _is_wanted(self, data: bytes) -> bool:
+        return self.request.wants_usage or not completion.is_only_usage(data)
+
+    def _token(self, origin: forward.Origin) -> str:
+        token = resume_token.Token(
+            self.request.head.team.name,
+            origin.endpoint,
+            origin.incarnation,
+            origin.request_id,
+            origin.base,
+            self.request.wants_usage,
+            int(self.parts.clock.now().timestamp()),
+        )
+        return resume_token.sign(token, self.parts.mesh_keys()[0])
+
+    def _observe_first_token(self) -> None:
+        head = self.request.head
+        seconds = self.parts.clock.monotonic() - head.arrived
+        self.parts.meters.first_token.labels(head.workload.name).observe(seconds)
+
+    def _record_run(self, execution: forward.Execution) -> None:
+        self.record(
+            200,
+            errors.Outcome.RAN,
+            endpoint=execution.origin.endpoint,
+            attempts=execution.attempts,
+            prompt_tokens=execution.usage.prompt_tokens,
+            cached_tokens=execution.usage.cached_tokens,
+        )
+
+
+def _discard(queue: gevent.queue.Queue) -> None:
+    """Empty a queue whose reader left, until the writer ends."""
+    while not isinstance(queue.get(), Finished):
+        continue
+
+
+def error_event(error: errors.RequestError) -> bytes:
+    """Return the event that ends a stream which failed; no end mark follows."""
+    fields = {"message": str(error), "type": error.kind, "outcome": error.outcome.value}
+    return b"data: %b\n\n" % json.dumps({"error": fields}).encode()
--- /dev/null
+++ b/bronzemux/config.py
@@ -0,0 +1,395 @@
+"""Configuration document: frozen data classes, decoding and checks."""
+
+import dataclasses
+import functools
+import hashlib
+import tomllib
+from collections.abc import Callable, Iterator
+
+import cattrs
+
+from bronzemux import errors
+
+KEY_DIGEST_HEX_LENGTH = 64
+DEFAULT_PIECE_BYTES = 4096
+BYTES_PER_TOKEN = 4
+PRESET_NAMES = ("ordinary", "peak", "maintenance")
+ENDPOINT_KINDS = ("model", "service")
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """Identity of a deployment and its sizes."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    piece_bytes: int = DEFAULT_PIECE_BYTES
+    weight_loads: int = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Limits of one team over all routers together."""
+
+    requests_per_second: float = 100.0
+    tokens_per_second: float = 1_000_000.0
+    concurrency: int = 128
+
+
+@dataclasses.dataclass(frozen=True)
+class Team:
+    """A team, its keys and what it may use."""
+
+    name: str
+    key_digests: tuple[str, ...]
+    weight: float = 1.0
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    limits: Limits = Limits()
+
+
+@dataclasses.dataclass(frozen=True)
+class Adapter:
+    """A fine-tuned adapter of a model."""
+
+    name: str
+    version: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Model:
+    """A model and the weights version in force."""
+
+    name: str
+    weights_version: str
+    adapters: tuple[Adapter, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """A back end: a model engine or a plain service."""
+
+    name: str
+    data_centre: str
+    address: str
+    kind: str = "model"
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    prefill_tokens_per_second: float = 10_000.0
+    slots: int = 16
+    cache_pieces: int = 1_000
+    checks_fencing: bool = False
+
+    @property
+    def host(self) -> str:
+        """Return the IP number."""
+        return self.address.rpartition(":")[0]
+
+    @property
+    def port(self) -> int:
+        """Return the TCP port."""
+        return int(self.address.rpartition(":")[2])
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A plain service beside the model engines."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Objective:
+    """Service-level objectives of a workload."""
+
+    first_token_seconds: float = 2.0
+    token_gap_seconds: float = 0.1
+    availability: float = 0.999
+    deadline_seconds: float = 30.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Workload:
+    """A kind of request and how it may be treated."""
+
+    name: str
+    idempotent: bool
+    teams: tuple[str, ...] = ()
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    methods: tuple[str, ...] = ()
+    path_prefix: str = ""
+    priority: int = 5
+    objective: Objective = Objective()
+
+
+@dataclasses.dataclass(frozen=True)
+class Preset:
+    """Parameters that change together."""
+
+    name: str
+    queue_limit: int = 512
+    retry_ratio: float = 0.1
+    retry_attempts: int = 3
+    load_weight: float = 1.0
+    reuse_weight: float = 1.0
+    ejection_limit: float = 0.34
+    slow_start_seconds: float = 10.0
+    drained_data_centres: tuple[str, ...] = ()
+    drained_endpoints: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Config:
+    """A whole configuration document."""
+
+    deployment: Deployment
+    preset: str
+    presets: tuple[Preset, ...]
+    teams: tuple[Team, ...]
+    models: tuple[Model, ...]
+    endpoints: tuple[Endpoint, ...]
+    services: tuple[Service, ...] = ()
+    workloads: tuple[Workload, ...] = ()
+
+
+def digest_key(key: str) -> str:
+    """Return the hexadecimal SHA-256 digest under which a team's key is stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def loads(text: str) -> Config:
+    """Decode and check a TOML document.
+
+    Args:
+      text: The document.
+
+    Returns:
+      The configuration.
+
+    Raises:
+      errors.ConfigError: With one `errors.ConfigProblemError` for each mistake.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        problem = errors.ConfigProblemError("document", str(error), "correct the TOML syntax")
+        raise errors.ConfigError("configuration is not TOML", [problem]) from None
+    try:
+        config = converter().structure(document, Config)
+    except cattrs.BaseValidationError as error:
+        problems = list(_structure_problems(error, ""))
+        raise errors.ConfigError("configuration has mistakes", problems) from None
+    problems = [problem for check in CHECKS for problem in check(config)]
+    if problems:
+        raise errors.ConfigError("configuration has mistakes", problems)
+    return config
+
+
+@functools.cache
+def converter() -> cattrs.Converter:
+    """Return the converter that decodes documents strictly."""
+    result = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+    for kind, label in ((str, "a string"), (int, "a whole number"), (bool, "true or false")):
+        result.register_structure_hook(kind, functools.partial(_strict, label))
+    result.register_structure_hook(float, _strict_float)
+    result.register_structure_hook_func(lambda kind: kind == tuple[str, ...], _string_tuple)
+    return result
+
+
+def _strict(label: str, value, kind):
+    if type(value) is not kind:
+        raise TypeError(f"found {value!r}, expected {label}")
+    return value
+
+
+def _strict_float(value, _kind) -> float:
+    if type(value) not in (int, float):
+        raise TypeError(f"found {value!r}, expected a number")
+    return float(value)
+
+
+def _string_tuple(value, _kind) -> tuple[str, ...]:
+    if not isinstance(value, list) or any(type(item) is not str for item in value):
+        raise TypeError(f"found {value!r}, expected a list of strings")
+    return tuple(value)
+
+
+def _structure_problems(error, path: str) -> Iterator[errors.ConfigProblemError]:
+    if not isinstance(error, cattrs.BaseValidationError):
+        yield _leaf_problem(error, path)
+        return
+    for child in error.exceptions:
+        notes = getattr(child, "__notes__", ())
+        place = next((n for n in notes if hasattr(n, "name") or hasattr(n, "index")), None)
+        yield from _structure_problems(child, _join(path, place))
+
+
+def _join(path: str, place) -> str:
+    if place is None:
+        return path
+    if hasattr(place, "index") and not hasattr(place, "name"):
+        return f"{path}[{place.index}]"
+    return f"{path}.{place.name}" if path else place.name
+
+
+def _leaf_problem(error, path: str) -> errors.ConfigProblemError:
+    place = path or "document"
+    if isinstance(error, KeyError):
+        return errors.ConfigProblemError(place, "is missing", "add it")
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        names = ", ".join(sorted(error.extra_fields))
+        return errors.ConfigProblemError(place, f"unknown keys: {names}", "remove or rename them")
+    return errors.ConfigProblemError(place, str(error), "give a value of the expected type")
+
+
+# Checks across the document. Each yields one problem for each mistake.
+
+
+def check_names(config: Config) -> Iterator[errors.ConfigProblemError]:
+    """Check that names within each list are unique and not empty."""
+    for field in ("teams", "models", "endpoints", "services", "workloads", "presets"):
+        seen = set()
+        for position, item in enumerate(getattr(config, field)):
+            path = f"{field}[{position}].name"
+            if not item.name:
+                yield errors.ConfigProblemError(path, "is empty", "give a name")
+            if item.name in seen:
+                yield errors.ConfigProblemError(path, f"{item.name!r} stands twice", "rename one")
+            seen.add(item.name)
+
+
+def check_presets(config: Config) -> Iterator[errors.ConfigProblemError]:
+    """Check that the preset in force and the shipped presets exist."""
+    names = {preset.name for preset in config.presets}
+    for name in PRESET_NAMES:
+        if name not in names:
+            yield errors.ConfigProblemError("presets", f"{name!r} is missing", "add this preset")
+    if config.preset not in names:
+        yield errors.ConfigProblemError("preset", f"{config.preset!r} is unknown", "name a preset")
+    for position, preset in enumerate(config.presets):
+        path = f"presets[{position}]"
+        yield from _ratio(f"{path}.retry_ratio", preset.retry_ratio)
+        yield from _ratio(f"{path}.ejection_limit", preset.ejection_limit)
+        yield from _positive(f"{path}.queue_limit", preset.queue_limit)
+        yield from _positive(f"{path}.retry_attempts", preset.retry_attempts)
+        yield from _known(
+            f"{path}.drained_data_centres",
+            preset.drained_data_centres,
+            config.deployment.data_centres,
+        )
+        endpoints = [endpoint.name for endpoint in config.endpoints]
+        yield from _known(f"{path}.drained_endpoints", preset.drained_endpoints, endpoints)
+
+
+def check_teams(config: Config) -> Iterator[errors.ConfigProblemError]:
+    """Check keys, weights, limits and references of teams."""
+    models = [model.name for model in config.models]
+    services = [service.name for service in config.services]
+    owners: dict[str, str] = {}
+    for position, team in enumerate(config.teams):
+        path = f"teams[{position}]"
+        yield from _positive(f"{path}.weight", team.weight)
+        yield from _positive(f"{path}.limits.requests_per_second", team.limits.requests_per_second)
+        yield from _positive(f"{path}.limits.tokens_per_second", team.limits.tokens_per_second)
+        yield from _positive(f"{path}.limits.concurrency", team.limits.concurrency)
+        yield from _known(f"{path}.models", team.models, models)
+        yield from _known(f"{path}.services", team.services, services)
+        for index, digest in enumerate(team.key_digests):
+            place = f"{path}.key_digests[{index}]"
+            yield from _key_digest(place, digest)
+            if owners.setdefault(digest, team.name) != team.name:
+                yield errors.ConfigProblemError(place, "belongs to another team", "rotate the key")
+
+
+def check_models(config: Config) -> Iterator[errors.ConfigProblemError]:
+    """Check that every model names its weights version."""
+    for position, model in enumerate(config.models):
+        if not model.weights_version:
+            path = f"models[{position}].weights_version"
+            yield errors.ConfigProblemError(path, "is empty", "name the weights version")
+
+
+def check_endpoints(config: Config) -> Iterator[errors.ConfigProblemError]:
+    """Check addresses, kinds, sizes and references of endpoints."""
+    models = [model.name for model in config.models]
+    services = [service.name for service in config.services]
+    addresses = set()
+    for position, endpoint in enumerate(config.endpoints):
+        path = f"endpoints[{position}]"
+        yield from _known(f"{path}.kind", (endpoint.kind,), ENDPOINT_KINDS)
+        yield from _known(
+            f"{path}.data_centre", (endpoint.data_centre,), config.deployment.data_centres
+        )
+        yield from _known(f"{path}.models", endpoint.models, models)
+        yield from _known(f"{path}.services", endpoint.services, services)
+        yield from _positive(f"{path}.slots", endpoint.slots)
+        yield from _positive(
+            f"{path}.prefill_tokens_per_second", endpoint.prefill_tokens_per_second
+        )
+        yield from _address(f"{path}.address", endpoint.address)
+        if endpoint.address in addresses:
+            yield errors.ConfigProblemError(f"{path}.address", "stands twice", "correct one")
+        addresses.add(endpoint.address)
+
+
+def check_workloads(config: Config) -> Iterator[errors.ConfigProblemError]:
+    """Check objectives, priorities and references of workloads."""
+    teams = [team.name for team in config.teams]
+    models = [model.name for model in config.models]
+    services = [service.name for service in config.services]
+    for position, workload in enumerate(config.workloads):
+        path = f"workloads[{position}]"
+        yield from _known(f"{path}.teams", workload.teams, teams)
+        yield from _known(f"{path}.models", workload.models, models)
+        yield from _known(f"{path}.services", workload.services, services)
+        yield from _ratio(f"{path}.objective.availability", workload.objective.availability)
+        yield from _positive(
+            f"{path}.objective.deadline_seconds", workload.objective.deadline_seconds
+        )
+        if bool(workload.models) == bool(workload.services):
+            yield errors.ConfigProblemError(
+                path, "names both or neither of models and services", "name one kind"
+            )
+
+
+CHECKS: tuple[Callable[[Config], Iterator[errors.ConfigProblemError]], ...] = (
+    check_names,
+    check_presets,
+    check_teams,
+    check_models,
+    check_endpoints,
+    check_workloads,
+)
+
+
+def _known(path: str, names, known) -> Iterator[errors.ConfigProblemError]:
+    for name in names:
+        if name not in known:
+            yield errors.ConfigProblemError(
+                path, f"{name!r} is unknown", f"use one of {', '.join(known) or 'none'}"
+            )
+
+
+def _positive(path: str, value: float) -> Iterator[errors.ConfigProblemError]:
+    if not value > 0:
+        yield errors.ConfigProblemError(path, f"found {value}", "give a number above 0")
+
+
+def _ratio(path: str, value: float) -> Iterator[errors.ConfigProblemError]:
+    if not 0 <= value <= 1:
+        yield errors.ConfigProblemError(path, f"found {value}", "give a number from 0 to 1")
+
+
+def _key_digest(path: str, digest: str) -> Iterator[errors.ConfigProblemError]:
+    is_hex = all(character in "0123456789abcdef" for character in digest)
+    if len(digest) != KEY_DIGEST_HEX_LENGTH or not is_hex:
+        yield errors.ConfigProblemError(
+            path, "is not a SHA-256 digest", "print one with `bronzemux-ctl key digest`"
+        )
+
+
+def _address(path: str, address: str) -> Iterator[errors.ConfigProblemError]:
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        yield errors.ConfigProblemError(path, f"found {address!r}", "give IP-number:port")
--- /dev/null
+++ b/bronzemux/config_store.py
@@ -0,0 +1,188 @@
+"""Configuration head in the table service: one row, changed by compare-and-set."""
+
+import dataclasses
+import datetime
+import uuid
+
+import cbor2
+
+from bronzemux import clock as clocks
+from bronzemux import config, errors, table
+
+HEAD_KEY = "config/head"
+HISTORY_PREFIX = "config/history/"
+WRITE_ATTEMPTS = 5
+BACKOFF_SECONDS = 0.1
+MAX_HISTORY = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """An accepted configuration.
+
+    Attributes:
+      version: Counts accepted changes from 1.
+      text: The TOML document.
+      preset: Preset in force; it goes before the one in the document.
+      change_id: Identity of the change, for repeats after a lost answer.
+      operator: Who made the change.
+      at: UTC time of the change, ISO 8601.
+      summary: What was changed.
+    """
+
+    version: int
+    text: str
+    preset: str
+    change_id: str
+    operator: str
+    at: str
+    summary: str
+
+    def document(self) -> config.Config:
+        """Return the decoded configuration with the preset in force.
+
+        Raises:
+          errors.ConfigError: When the document has mistakes.
+        """
+        return dataclasses.replace(config.loads(self.text), preset=self.preset)
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A change that an operator asks for.
+
+    Attributes:
+      expected: Version that the operator saw; 0 for the first configuration.
+      text: The new document.
+      preset: The new preset; empty takes the document's.
+      operator: Who asks.
+      summary: What is changed.
+      change_id: Identity, the same one with each repeat.
+    """
+
+    expected: int
+    text: str
+    operator: str
+    summary: str
+    preset: str = ""
+    change_id: str = dataclasses.field(default_factory=lambda: uuid.uuid4().hex)
+
+
+def encode(head: Head) -> bytes:
+    """Return the content of a row or message."""
+    return cbor2.dumps(dataclasses.astuple(head))
+
+
+def decode(content: bytes) -> Head:
+    """Return the head that a row or message holds."""
+    return Head(*cbor2.loads(content))
+
+
+class ConfigStore:
+    """Reads and changes the configuration head.
+
+    Args:
+      service: Table service.
+      clock: Source of time.
+    """
+
+    def __init__(self, service: table.TableService, clock: clocks.Clock):
+        self.service = service
+        self.clock = clock
+
+    def read(self) -> Head | None:
+        """Return the head, None before the first configuration.
+
+        Raises:
+          errors.PlatformUnavailableError: When the service gave no answer.
+        """
+        row = self.service.read([HEAD_KEY])[0]
+        return decode(row.value) if row else None
+
+    def history(self, limit: int = MAX_HISTORY) -> list[Head]:
+        """Return accepted configurations, the newest first.
+
+        Raises:
+          errors.PlatformUnavailableError: When the service gave no answer.
+        """
+        rows = self.service.scan(HISTORY_PREFIX, limit)
+        return [decode(row.value) for row in rows]
+
+    def version(self, number: int) -> Head:
+        """Return an accepted configuration by its version.
+
+        Raises:
+          errors.NotFoundError: When there is none.
+          errors.PlatformUnavailableError: When the service gave no answer.
+        """
+        row = self.service.read([history_key(number)])[0]
+        if row is None:
+            raise errors.NotFoundError(f"no version {number}", "list them with `config history`")
+        return decode(row.value)
+
+    def apply(self, change: Change) -> Head:
+        """Accept a change: it is checked whole and written in one transaction.
+
+        Args:
+          change: The change.
+
+        Returns:
+          The new head; also when an earlier try of the same change was accepted.
+
+        Raises:
+          errors.ConfigError: When the document has mistakes.
+          errors.ConfigConflictError: When another change came first.
+          errors.PlatformError: When the service is out of reach.
+        """
+        head = self._head(change)
+        head.document()
+        last: errors.PlatformError | None = None
+        for attempt in range(WRITE_ATTEMPTS):
+            try:
+                self.service.transact(_writes(head))
+                return head
+            except errors.WriteConflictError:
+                return self._settle(change)
+            except errors.PlatformError as error:
+                last = error
+                self.clock.sleep(BACKOFF_SECONDS * 2**attempt)
+        raise last
+
+    def _head(self, change: Change) -> Head:
+        preset = change.preset or config.loads(change.text).preset
+        return Head(
+            version=change.expected + 1,
+            text=change.text,
+            preset=preset,
+            change_id=change.change_id,
+            operator=change.operator,
+            at=self.clock.now().astimezone(datetime.UTC).isoformat(timespec="seconds"),
+            summary=change.summary,
+        )
+
+    def _settle(self, change: Change) -> Head:
+        """Return the head that an earlier try of this change wrote, or raise the conflict."""
+        row = self.service.read([history_key(change.expected + 1)])[0]
+        winner = decode(row.value) if row else None
+        if winner is not None and winner.change_id == change.change_id:
+            return winner
+        current = self.read()
+        version = current.version if current else 0
+        other = f"{winner.operator}: {winner.summary}" if winner else "no such version yet"
+        raise errors.ConfigConflictError(
+            f"expected version {change.expected}, found {version} ({other})",
+            "look at it with `bronzemux-ctl config diff` and apply again",
+        )
+
+
+def history_key(version: int) -> str:
+    """Return the row key of an accepted version; newer versions sort first."""
+    return f"{HISTORY_PREFIX}{10**12 - version:012d}"
+
+
+def _writes(head: Head) -> list[table.Write]:
+    content = encode(head)
+    return [
+        table.Write(HEAD_KEY, head.version - 1, content),
+        table.Write(history_key(head.version), table.ABSENT, content),
+    ]
--- /dev/null
+++ b/bronzemux/dispatcher.py
@@ -0,0 +1,429 @@
+"""Task that owns the fleet's state and decides where requests run."""
+
+import dataclasses
+import functools
+
+import numpy as np
+
+from bronzemux import (
+    admission,
+    config,
+    errors,
+    fleet,
+    index,
+    limits,
+    logs,
+    messages,
+    metrics,
+    quarantine,
+    requests,
+    retries,
+    routing,
+    supervisor,
+)
+from bronzemux import clock as clocks
+
+TICK_SECONDS = 0.25
+SHARE_EWMA_WEIGHT = 0.05
+MIN_RETRY_AFTER_SECONDS = 0.2
+REFUSAL_RETRY_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class DispatcherSettings:
+    """Settings of the dispatcher.
+
+    Attributes:
+      data_centre: Data centre of this router.
+      index_entries: Capacity of the prefix index.
+    """
+
+    data_centre: str
+    index_entries: int = index.DEFAULT_CAPACITY
+
+
+class Dispatcher(supervisor.Task):
+    """Admission, routing, retry budget, health and quarantine of one router.
+
+    Args:
+      settings: Settings.
+      clock: Source of time.
+      meters: Metrics of the router.
+      announce: Called with newly condemned fingerprints.
+    """
+
+    def __init__(
+        self,
+        settings: DispatcherSettings,
+        clock: clocks.Clock,
+        meters: metrics.Metrics,
+        announce=lambda fingerprints: None,
+    ):
+        super().__init__("dispatcher", clock, TICK_SECONDS)
+        self.settings = settings
+        self.meters = meters
+        self.announce = announce
+        self.snapshot = None
+        self.peers = 1
+        self._new_state()
+
+    def _new_state(self) -> None:
+        self.fleet = fleet.Fleet(self.settings.data_centre)
+        self.index = index.PrefixIndex(self.settings.index_entries)
+        self.queue = admission.FairQueue(limit=1)
+        self.limits = limits.TeamLimits()
+        self.budget = retries.RetryBudget()
+        self.quarantine = quarantine.Quarantine()
+        self.running: dict[str, dict[str, requests.Request]] = {}
+        self.lost: dict[str, dict[str, str]] = {}
+        self.counted: set[str] = set()
+        self.computed_share = 1.0
+
+    def start_state(self) -> None:
+        """Start anew after a failure; requests that wait get a typed refusal."""
+        for ticket in list(self.queue):
+            ticket.payload.reply.set_exception(_restarted())
+        snapshot = self.snapshot
+        self._new_state()
+        if snapshot is not None:
+            self._apply(messages.SnapshotChanged(snapshot))
+
+    # Messages
+
+    @functools.singledispatchmethod
+    def handle(self, message):
+        """Handle one message; see `messages`."""
+        return super().handle(message)
+
+    @handle.register
+    def _apply(self, message: messages.SnapshotChanged) -> None:
+        self.snapshot = message.snapshot
+        gone = self.fleet.apply(message.snapshot.config, message.snapshot.preset)
+        for name in gone:
+            self.index.forget(name)
+        self.queue.limit = message.snapshot.preset.queue_limit
+        self._pump()
+
+    @handle.register
+    def _admit(self, message: messages.Admit) -> None:
+        try:
+            ticket = self._check(message)
+        except errors.RequestError as error:
+            self.meters.refusals.labels(error.kind).inc()
+            message.reply.set_exception(error)
+            return
+        self.queue.push(ticket)
+        self._pump()
+
+    @handle.register
+    def _abandon(self, message: messages.Abandon) -> None:
+        self.queue.remove(message.request.head.id)
+
+    @handle.register
+    def _first_part(self, message: messages.FirstPart) -> None:
+        assignment = message.assignment
+        self.fleet.prefill_done(assignment.endpoint.name, _new_tokens(assignment))
+
+    @handle.register
+    def _attempt_ended(self, message: messages.AttemptEnded) -> None:
+        assignment = message.assignment
+        name = assignment.endpoint.name
+        self.fleet.prefill_done(name, _new_tokens(assignment))
+        self.fleet.end_work(name)
+        self.running.get(name, {}).pop(assignment.request.head.id, None)
+        if message.incarnation:
+            self._see_incarnation(name, message.incarnation)
+        if message.error is None:
+            self._learn(message)
+        else:
+            self._record_failure(message)
+        self._pump()
+
+    @handle.register
+    def _request_ended(self, message: messages.RequestEnded) -> None:
+        head = message.request.head
+        if head.id in self.counted:
+            self.counted.discard(head.id)
+            self.limits.release(head.team.name)
+
+    @handle.register
+    def _endpoint_report(self, message: messages.EndpointReport) -> None:
+        name = message.endpoint
+        if name not in self.fleet.states:
+            return
+        now = self.clock.monotonic()
+        self._see_incarnation(name, message.state.load.incarnation)
+        self.fleet.take_load_report(message.state.load, now)
+        self.fleet.states[name].weights = dict(message.state.weights)
+        if message.has_gap:
+            self.meters.event_gaps.inc()
+            self.fleet.doubt(name)
+        events = message.state.events
+        self.index.insert(name, events.stored)
+        self.index.remove(name, events.evicted)
+        self.fleet.revive(name)
+        self._pump()
+
+    @handle.register
+    def _endpoint_alive(self, message: messages.EndpointAlive) -> None:
+        self.fleet.revive(message.endpoint)
+        self._pump()
+
+    @handle.register
+    def _endpoint_down(self, message: messages.EndpointDown) -> None:
+        state = self.fleet.states.get(message.endpoint)
+        if state is None:
+            return
+        if self.fleet.fail(message.endpoint, self.clock.monotonic(), is_dead=True):
+            logs.event("endpoint_down", "warning", endpoint=message.endpoint)
+        self._bury(message.endpoint, state.incarnation)
+
+    @handle.register
+    def _leaving(self, message: messages.LeavingEndpoints) -> None:
+        for name, state in self.fleet.states.items():
+            state.leaving = name in message.names
+
+    @handle.register
+    def _condemned(self, message: messages.Condemned) -> None:
+        for item in message.fingerprints:
+            self.quarantine.condemn(item, self.clock.monotonic())
+
+    @handle.register
+    def _limit_shares(self, message: messages.LimitShares) -> None:
+        self.limits.default_share = message.default_share
+        self.limits.shares = dict(message.shares)
+
+    @handle.register
+    def _peer_count(self, message: messages.PeerCount) -> None:
+        self.peers = max(1, message.count)
+
+    @handle.register
+    def _describe(self, message: messages.Describe) -> messages.DispatcherStatus:
+        now = self.clock.monotonic()
+        uses = self.limits.uses.items()
+        return messages.DispatcherStatus(
+            version=self.snapshot.version if self.snapshot else 0,
+            preset=self.snapshot.preset.name if self.snapshot else "",
+            waiting=len(self.queue),
+            running=sum(len(items) for items in self.running.values()),
+            index_entries=len(self.index),
+            condemned=len(self.quarantine.condemned),
+            endpoints=tuple(self._status(state, now) for state in self.fleet.states.values()),
+            team_requests=tuple((team, use.used_requests) for team, use in uses),
+        )
+
+    def _status(self, state: fleet.EndpointState, now: float) -> messages.EndpointStatus:
+        return messages.EndpointStatus(
+            name=state.endpoint.name,
+            is_available=self.fleet.is_available(state, now),
+            is_drained=self.fleet.is_drained(state),
+            in_flight=state.in_flight,
+            outstanding_tokens=state.outstanding_tokens,
+            confidence=state.confidence,
+            rate=state.rate,
+            incarnation=state.incarnation,
+        )
+
+    def tick(self) -> None:
+        """Refuse requests whose deadline passed and start what can start."""
+        for ticket in self.queue.expire(self.clock.monotonic()):
+            self.meters.refusals.labels(errors.OverloadedError.kind).inc()
+            ticket.payload.reply.set_exception(self._overloaded("the deadline passed in the queue"))
+        self.meters.waiting.set(len(self.queue))
+        self._pump()
+
+    # Admission
+
+    def _check(self, message: messages.Admit) -> admission.Ticket:
+        request, now = message.request, self.clock.monotonic()
+        if self.quarantine.is_condemned(request.fingerprint, now):
+            raise _quarantined(request.fingerprint)
+        if message.is_retry:
+            self._check_retry(now)
+        else:
+            self._count_new(request, now)
+        return self._ticket(message, now)
+
+    def _check_retry(self, now: float) -> None:
+        if not self.budget.try_retry(self.snapshot.preset.retry_ratio, now):
+            self.meters.retries_refused.inc()
+            raise errors.OverloadedError(
+                "the retry budget is used up", "send again after Retry-After", REFUSAL_RETRY_SECONDS
+            )
+        self.meters.retries.inc()
+
+    def _count_new(self, request: requests.Request, now: float) -> None:
+        self.limits.admit(request.head.team, token_cost(request), now)
+        self.counted.add(request.head.id)
+        self.budget.request(now)
+
+    def _ticket(self, message: messages.Admit, now: float) -> admission.Ticket:
+        request = message.request
+        head = request.head
+        ticket = admission.Ticket(
+            request=head.id,
+            team=head.team.name,
+            weight=head.team.weight,
+            priority=head.workload.priority,
+            cost=token_cost(request),
+            deadline=head.deadline,
+            payload=message,
+        )
+        allowed = self._allowed(request, frozenset())
+        if not allowed.any():
+            raise errors.UnavailableError(
+                "no endpoint serves this", "send again after Retry-After", REFUSAL_RETRY_SECONDS
+            )
+        if not self.queue.has_space(ticket):
+            raise self._overloaded("the queue is full")
+        if now + self._expected_wait() > head.deadline:
+            raise self._overloaded("the deadline cannot be met")
+        return ticket
+
+    def _expected_wait(self) -> float:
+        now = self.clock.monotonic()
+        states = self.fleet.states.values()
+        rate = sum(state.rate for state in states if self.fleet.is_available(state, now))
+        return self.queue.waiting_cost * self.computed_share / rate if rate else 0.0
+
+    def _overloaded(self, reason: str) -> errors.OverloadedError:
+        wait = max(MIN_RETRY_AFTER_SECONDS, self._expected_wait())
+        return errors.OverloadedError(reason, "send again after Retry-After", wait)
+
+    # Routing
+
+    def _pump(self) -> None:
+        while len(self.queue):
+            now = self.clock.monotonic()
+            view = self.fleet.view(now, self.peers)
+            chosen: list[routing.Choice] = []
+            ticket = self.queue.pop_first(functools.partial(self._accept, view, chosen))
+            if ticket is None:
+                return
+            self._assign(ticket.payload, chosen[0], now)
+
+    def _accept(self, view, chosen, ticket: admission.Ticket) -> bool:
+        choice = self._choose(view, ticket.payload)
+        if choice is None:
+            return False
+        chosen.append(choice)
+        return True
+
+    def _choose(self, view, message: messages.Admit) -> routing.Choice | None:
+        request = message.request
+        allowed = self._allowed(request, message.excluded)
+        if not allowed.any():
+            allowed = self._allowed(request, frozenset())
+        if self.quarantine.is_suspect(request.fingerprint):
+            allowed = allowed & ~self._suspect_mask()
+        if not allowed.any():
+            return None
+        demand = self._demand(request, allowed)
+        preset = self.snapshot.preset
+        weights = routing.Weights(preset.load_weight, preset.reuse_weight)
+        return routing.choose(view, demand, self.index.overlaps(demand.chain), weights)
+
+    def _demand(self, request: requests.Request, allowed) -> routing.Demand:
+        piece_tokens = self.snapshot.config.deployment.piece_bytes // config.BYTES_PER_TOKEN
+        if isinstance(request, requests.ModelRequest):
+            return routing.Demand(request.chain, request.tokens, piece_tokens, allowed)
+        return routing.Demand((), 1, piece_tokens, allowed)
+
+    def _allowed(self, request: requests.Request, excluded: frozenset[str]) -> np.ndarray:
+        if isinstance(request, requests.ServiceRequest):
+            return self.fleet.allowed("", request.service, excluded)
+        model = self.snapshot.models.get(request.model)
+        version = model.weights_version if model else ""
+        return self.fleet.allowed(request.model, "", excluded, version)
+
+    def _suspect_mask(self) -> np.ndarray:
+        return np.array([self._runs_suspect(name) for name in self.fleet.states], dtype=bool)
+
+    def _runs_suspect(self, name: str) -> bool:
+        running = self.running.get(name, {}).values()
+        return any(self.quarantine.is_suspect(request.fingerprint) for request in running)
+
+    def _assign(self, message: messages.Admit, choice: routing.Choice, now: float) -> None:
+        request = message.request
+        endpoint = self.fleet.states[choice.endpoint].endpoint
+        assignment = messages.Assignment(request, endpoint, choice.reused_tokens, now)
+        self.fleet.start_work(endpoint.name, _new_tokens(assignment))
+        self.running.setdefault(endpoint.name, {})[request.head.id] = request
+        if isinstance(request, requests.ModelRequest):
+            self.index.insert(endpoint.name, request.chain)
+        self.meters.decisions.labels(endpoint.name).inc()
+        message.reply.set(assignment)
+
+    # Health
+
+    def _learn(self, message: messages.AttemptEnded) -> None:
+        assignment = message.assignment
+        name = assignment.endpoint.name
+        self.fleet.succeed(name)
+        self.quarantine.clear(assignment.request.fingerprint)
+        if message.prompt_tokens:
+            self.fleet.learn_reuse(name, assignment.reused_tokens, message.cached_tokens)
+            computed = 1.0 - message.cached_tokens / message.prompt_tokens
+            self.computed_share += SHARE_EWMA_WEIGHT * (computed - self.computed_share)
+            self.meters.prompt_tokens.inc(message.prompt_tokens)
+            self.meters.cached_tokens.inc(message.cached_tokens)
+
+    def _record_failure(self, message: messages.AttemptEnded) -> None:
+        error, assignment = message.error, message.assignment
+        name = assignment.endpoint.name
+        self.meters.attempt_failures.labels(type(error).__name__).inc()
+        if isinstance(error, errors.EndpointRefusedError):
+            return
+        now = self.clock.monotonic()
+        is_dead = isinstance(error, errors.EndpointUnreachableError)
+        if self.fleet.fail(name, now, is_dead):
+            logs.event("endpoint_ejected", "warning", endpoint=name, cause=type(error).__name__)
+        if not is_dead:
+            fingerprint = assignment.request.fingerprint
+            self.lost.setdefault(name, {})[assignment.request.head.id] = fingerprint
+
+    def _see_incarnation(self, name: str, incarnation: str) -> None:
+        state = self.fleet.states.get(name)
+        old = state.incarnation if state else ""
+        if self.fleet.see_incarnation(name, incarnation, self.clock.monotonic()):
+            logs.event("endpoint_returned", endpoint=name, incarnation=incarnation)
+            self._bury(name, old)
+
+    def _bury(self, name: str, incarnation: str) -> None:
+        """Drop the cache entries of a process that died, and suspect what ran on it."""
+        self.index.forget(name)
+        prints = set(self.lost.pop(name, {}).values())
+        prints |= {request.fingerprint for request in self.running.get(name, {}).values()}
+        now = self.clock.monotonic()
+        fresh = self.quarantine.record_death(name, incarnation, prints, now)
+        if fresh:
+            self.meters.quarantined.inc(len(fresh))
+            logs.event("quarantined", "warning", fingerprints=",".join(fresh))
+            self.announce(tuple(fresh))
+
+
+def token_cost(request: requests.Request) -> float:
+    """Return the tokens by which a request counts against limits and shares."""
+    if isinstance(request, requests.ModelRequest):
+        return request.tokens + request.max_tokens
+    return 1
+
+
+def _new_tokens(assignment: messages.Assignment) -> int:
+    """Return the prompt tokens that the endpoint is expected to compute."""
+    if isinstance(assignment.request, requests.ModelRequest):
+        return max(1, assignment.request.tokens - assignment.reused_tokens)
+    return 0
+
+
+def _quarantined(fingerprint: str) -> errors.QuarantinedError:
+    return errors.QuarantinedError(
+        f"requests with this content crashed endpoints (fingerprint {fingerprint})",
+        "change the content, or have the operators release the fingerprint",
+    )
+
+
+def _restarted() -> errors.UnavailableError:
+    return errors.UnavailableError(
+        "the dispatcher restarted", "send again after Retry-After", REFUSAL_RETRY_SECONDS
+    )
--- /dev/null
+++ b/bronzemux/engine_http.py
@@ -0,0 +1,249 @@
+"""Engines over HTTP with server-sent events, as OpenAI-compatible servers speak it."""
+
+import itertools
+import json
+import re
+from collections.abc import Iterator
+
+from bronzemux import engine, errors, fleet, http_client
+
+HEADER_REQUEST = "X-Request-Id"
+HEADER_INCARNATION = "X-Engine-Incarnation"
+HEADER_OUTCOME = "X-Outcome"
+HEADER_SALT = "X-Cache-Salt"
+HEADER_WEIGHTS = "X-Weights-Version"
+HEADER_PRIORITY = "X-Priority"
+HEADER_CONTINUE = "X-Continue-Bytes"
+HEADER_IDEMPOTENCY = "Idempotency-Key"
+OUTCOME_NOT_RUN = "not-run"
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+MAX_ERROR_BYTES = 500
+MAX_IDLE_CONNECTIONS = 32
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (.*)\n\n\Z", re.DOTALL)
+
+
+class HttpEngine(engine.Engine):
+    """Engine at an address.
+
+    Args:
+      name: Name of the endpoint.
+      host: IP number.
+      port: TCP port.
+      timeouts: Limits of waiting; `progress` is the longest pause within an answer.
+    """
+
+    def __init__(self, name: str, host: str, port: int, timeouts: http_client.Timeouts):
+        self.name = name
+        self.host = host
+        self.port = port
+        self.timeouts = timeouts
+        self.idle: list[http_client.Connection] = []
+
+    def start(self, job: engine.Job) -> engine.AnswerStream:
+        """Start a job."""
+        headers = {
+            "Content-Type": "application/json",
+            HEADER_REQUEST: job.request_id,
+            HEADER_SALT: job.salt.hex(),
+            HEADER_WEIGHTS: job.weights_version,
+            HEADER_PRIORITY: str(job.priority),
+        }
+        if job.idempotency_key:
+            headers[HEADER_IDEMPOTENCY] = job.idempotency_key
+        body = job.body
+        if job.continue_text:
+            suffix = job.continue_text.encode()
+            headers[HEADER_CONTINUE] = str(len(suffix))
+            body += suffix
+        return self._stream("POST", job.path, headers, body, job, 0)
+
+    def resume(self, request_id: str, offset: int) -> engine.AnswerStream:
+        """Read the answer of a started job again from a part."""
+        job = engine.Job(request_id, "", b"", b"", "", 0, may_reuse_connection=False)
+        return self._stream("GET", f"/requests/{request_id}?offset={offset}", {}, b"", job, offset)
+
+    def cancel(self, request_id: str) -> None:
+        """Stop a job."""
+        self._exchange("DELETE", f"/requests/{request_id}")
+
+    def state(self, after: int) -> engine.EngineState:
+        """Return the load and the cache events after a sequence number."""
+        answer = self._exchange("GET", f"/state?after={after}")
+        return decode_state(self.name, answer.body)
+
+    def order(self, order: engine.Order) -> None:
+        """Give an order."""
+        body = {
+            "model": order.model,
+            "weights_version": order.weights_version,
+            "fencing_token": order.fencing_token,
+            "adapter": order.adapter,
+        }
+        self._exchange("POST", "/orders", json.dumps(body).encode())
+
+    def _exchange(self, method: str, path: str, body: bytes = b"") -> http_client.Answer:
+        connection = http_client.Connection(self.host, self.port, self.timeouts)
+        try:
+            connection.send(method, path, {}, body)
+            response = connection.receive(method)
+            answer = http_client.Answer(
+                response.status_code, dict(response.items()), connection.read_all()
+            )
+        finally:
+            connection.close()
+        if answer.status != HTTP_OK:
+            raise _refusal(self.name, answer.status, answer.headers, answer.body)
+        return answer
+
+    def _stream(self, method, path, headers, body, job, offset) -> "HttpAnswerStream":
+        connection = self._connection(job.may_reuse_connection)
+        try:
+            connection.send(method, path, headers, body)
+            response = connection.receive(method)
+            if response.status_code != HTTP_OK:
+                text = connection.read_all()
+                raise _refusal(self.name, response.status_code, response, text)
+            if response.get(HEADER_REQUEST) != job.request_id:
+                raise errors.EndpointProtocolError(
+                    f"{self.name} answered another request", "the answer is dropped"
+                )
+            incarnation = response.get(HEADER_INCARNATION, "")
+            return HttpAnswerStream(self, connection, incarnation, offset)
+        except BaseException:
+            connection.close()
+            raise
+
+    def _connection(self, may_reuse: bool) -> http_client.Connection:
+        while may_reuse and self.idle:
+            connection = self.idle.pop()
+            if http_client.is_quiet(connection.socket):
+                return connection
+            connection.close()
+        return http_client.Connection(self.host, self.port, self.timeouts)
+
+    def release(self, connection: http_client.Connection) -> None:
+        """Take a connection back after a whole answer."""
+        if connection.is_reusable() and len(self.idle) < MAX_IDLE_CONNECTIONS:
+            self.idle.append(connection)
+        else:
+            connection.close()
+
+
+class HttpAnswerStream(engine.AnswerStream):
+    """Answer that is read from a connection; checks that parts follow one another.
+
+    Args:
+      owner: Engine that takes the connection back.
+      connection: Connection whose headers were read.
+      incarnation: Identity of the engine's process.
+      offset: Number of the first part expected.
+    """
+
+    def __init__(self, owner, connection, incarnation: str, offset: int):
+        self.owner = owner
+        self.connection = connection
+        self.incarnation = incarnation
+        self.offset = offset
+
+    def __iter__(self) -> Iterator[engine.Part]:
+        """Iterate over parts up to and including `engine.DONE`."""
+        chunks = iter(self.connection.read, b"")
+        expected = self.offset
+        for event in http_client.events(chunks):
+            part = decode_event(event)
+            if part.number < expected:
+                continue
+            if part.number > expected:
+                raise errors.EndpointLostError(
+                    f"part {expected} of the answer is missing", "read again from this part"
+                )
+            expected += 1
+            if part.data == engine.DONE:
+                self._finish(chunks)
+                yield part
+                return
+            yield part
+        raise errors.EndpointLostError(
+            "the answer ended before its end mark", "read the rest again"
+        )
+
+    def _finish(self, chunks) -> None:
+        rest = b"".join(itertools.islice(chunks, 2))
+        if rest:
+            self.connection.close()
+        else:
+            self.owner.release(self.connection)
+        self.connection = None
+
+    def close(self) -> None:
+        """Drop the connection; the engine keeps the request."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+
+def decode_event(event: bytes) -> engine.Part:
+    """Return the part that a server-sent event carries.
+
+    Raises:
+      errors.EndpointProtocolError: When the event has another form.
+    """
+    match = EVENT_PATTERN.match(event)
+    if match is None:
+        raise errors.EndpointProtocolError(
+            "an event of the answer has no number", "check the engine's version"
+        )
+    return engine.Part(int(match[1]), match[2])
+
+
+def encode_event(number: int, data: bytes) -> bytes:
+    """Return a part as a server-sent event."""
+    return b"id: %d\ndata: %b\n\n" % (number, data)
+
+
+def decode_state(name: str, body: bytes) -> engine.EngineState:
+    """Return the state that an engine reports.
+
+    Args:
+      name: Name of the endpoint.
+      body: JSON body.
+
+    Raises:
+      errors.EndpointProtocolError: When the body has another form.
+    """
+    try:
+        raw = json.loads(body)
+        incarnation = str(raw["incarnation"])
+        load = fleet.LoadReport(
+            endpoint=name,
+            incarnation=incarnation,
+            running=int(raw["running"]),
+            waiting=int(raw["waiting"]),
+            waiting_tokens=int(raw["waiting_tokens"]),
+        )
+        events = engine.EventBatch(
+            incarnation=incarnation,
+            first=int(raw["first"]),
+            last=int(raw["last"]),
+            stored=tuple(int(key, 16) for key in raw["stored"]),
+            evicted=tuple(int(key, 16) for key in raw["evicted"]),
+        )
+        weights = tuple((str(k), str(v)) for k, v in raw.get("weights", {}).items())
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise errors.EndpointProtocolError(
+            f"{name} reported a state of another form: {error!r}", "check the engine's version"
+        ) from error
+    return engine.EngineState(load, events, weights)
+
+
+def _refusal(name: str, status: int, headers, body: bytes) -> errors.EndpointError:
+    text = body[:MAX_ERROR_BYTES].decode(errors="replace")
+    message = f"{name} answered {status}: {text}"
+    if headers.get(HEADER_OUTCOME) == OUTCOME_NOT_RUN:
+        return errors.EndpointRefusedError(message, "send to another endpoint")
+    if status == HTTP_NOT_FOUND:
+        return errors.EndpointUnknownRequestError(
+            message, "start the request again if it is idempotent"
+        )
+    return errors.EndpointFailedError(message, "read the endpoint's logs", status)
--- /dev/null
+++ b/bronzemux/errors.py
@@ -0,0 +1,273 @@
+"""Typed errors; each message names the remedy."""
+
+import enum
+
+
+class Outcome(enum.Enum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = "not-run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class BronzemuxError(Exception):
+    """Base of all errors of the package.
+
+    Args:
+      message: What happened.
+      remedy: What the reader can do about it.
+    """
+
+    def __init__(self, message: str, remedy: str = ""):
+        super().__init__(f"{message}; {remedy}" if remedy else message)
+        self.message = message
+        self.remedy = remedy
+
+
+class SettingError(BronzemuxError):
+    """A flag or environment variable holds an unusable value."""
+
+
+class ConfigProblemError(BronzemuxError):
+    """One mistake of a configuration document.
+
+    Args:
+      path: Place in the document, such as ``teams[0].weight``.
+      found: What stands there.
+      remedy: What should stand there.
+    """
+
+    def __init__(self, path: str, found: str, remedy: str):
+        super().__init__(f"{path}: {found}", remedy)
+        self.path = path
+        self.found = found
+
+
+class ConfigError(ExceptionGroup):
+    """All mistakes of one configuration document."""
+
+    def derive(self, excs):
+        """Return a group of the same kind for ``split`` and ``subgroup``."""
+        return ConfigError(self.message, excs)
+
+
+# Platform
+
+
+class PlatformError(BronzemuxError):
+    """Base of failures of the table service, object store and VM list."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The call had no effect: the service could not be reached or refused it."""
+
+
+class AmbiguousWriteError(PlatformError):
+    """The answer to a write was lost; the write may have taken effect."""
+
+
+class WriteConflictError(PlatformError):
+    """A conditional write found other versions than expected.
+
+    Args:
+      keys: Keys whose version differed.
+    """
+
+    def __init__(self, keys: tuple[str, ...]):
+        super().__init__(
+            f"version changed: {', '.join(keys)}", "read the rows again and repeat the change"
+        )
+        self.keys = keys
+
+
+class ConfigConflictError(BronzemuxError):
+    """Another operator changed the configuration first."""
+
+
+# Endpoints
+
+
+class EndpointError(BronzemuxError):
+    """Base of failures of one attempt at an endpoint.
+
+    Attributes:
+      outcome: What is known about the execution of the attempt.
+    """
+
+    outcome = Outcome.UNKNOWN
+
+
+class EndpointUnreachableError(EndpointError):
+    """The connection was never established; no byte was sent."""
+
+    outcome = Outcome.NOT_RUN
+
+
+class EndpointRefusedError(EndpointError):
+    """The endpoint answered that it did not start the work."""
+
+    outcome = Outcome.NOT_RUN
+
+
+class EndpointLostError(EndpointError):
+    """The connection broke after bytes of the request were sent."""
+
+
+class EndpointSilentError(EndpointError):
+    """No progress arrived within the progress deadline."""
+
+
+class EndpointProtocolError(EndpointError):
+    """The answer broke the protocol: wrong request, incarnation or sequence."""
+
+
+class EndpointFailedError(EndpointError):
+    """The endpoint answered with an error that does not prove that nothing ran.
+
+    Args:
+      message: What happened.
+      remedy: What the reader can do about it.
+      status: HTTP status of the answer.
+    """
+
+    def __init__(self, message: str, remedy: str, status: int):
+        super().__init__(message, remedy)
+        self.status = status
+
+
+class EndpointUnknownRequestError(EndpointError):
+    """The endpoint does not know the request whose answer was asked for."""
+
+
+# Callers
+
+
+class RequestError(BronzemuxError):
+    """Base of errors that a caller sees.
+
+    Args:
+      message: What happened.
+      remedy: What the caller can do.
+      retry_after: Seconds after which a repeat is useful, or None.
+      outcome: What is known about the execution of the request.
+    """
+
+    status = 500
+    kind = "internal_error"
+
+    def __init__(
+        self,
+        message: str,
+        remedy: str,
+        retry_after: float | None = None,
+        outcome: Outcome = Outcome.NOT_RUN,
+    ):
+        super().__init__(message, remedy)
+        self.retry_after = retry_after
+        self.outcome = outcome
+
+
+class InvalidRequestError(RequestError):
+    """The request is malformed."""
+
+    status = 400
+    kind = "invalid_request_error"
+
+
+class AuthenticationFailedError(RequestError):
+    """The key is missing or unknown."""
+
+    status = 401
+    kind = "authentication_error"
+
+
+class PermissionDeniedError(RequestError):
+    """The team may not use what the request names."""
+
+    status = 403
+    kind = "permission_error"
+
+
+class NotFoundError(RequestError):
+    """The named resource does not exist for this team."""
+
+    status = 404
+    kind = "not_found_error"
+
+
+class MethodNotAllowedError(RequestError):
+    """The path exists, but not with this method."""
+
+    status = 405
+    kind = "method_not_allowed"
+
+
+class BodyTimeoutError(RequestError):
+    """The body did not arrive in time."""
+
+    status = 408
+    kind = "request_timeout"
+
+
+class BodyTooLargeError(RequestError):
+    """The body exceeds the limit."""
+
+    status = 413
+    kind = "request_too_large"
+
+
+class IdempotencyConflictError(RequestError):
+    """The idempotency key was used with other content."""
+
+    status = 422
+    kind = "idempotency_conflict"
+
+
+class InProgressError(RequestError):
+    """The request with this idempotency key is still running."""
+
+    status = 409
+    kind = "request_in_progress"
+
+
+class AnswerExpiredError(RequestError):
+    """The request ran, and its answer is no longer kept."""
+
+    status = 410
+    kind = "answer_expired"
+
+
+class QuarantinedError(RequestError):
+    """The request crashed endpoints before and is refused."""
+
+    status = 422
+    kind = "request_quarantined"
+
+
+class LimitExceededError(RequestError):
+    """The team is over its limit."""
+
+    status = 429
+    kind = "rate_limit_error"
+
+
+class OverloadedError(RequestError):
+    """The request was shed before it ran."""
+
+    status = 503
+    kind = "overloaded_error"
+
+
+class UnavailableError(RequestError):
+    """A part that the request needs is unavailable."""
+
+    status = 503
+    kind = "unavailable_error"
+
+
+class OutcomeUnknownError(RequestError):
+    """The request may or may not have run."""
+
+    status = 502
+    kind = "outcome_unknown"
--- /dev/null
+++ b/bronzemux/fleet.py
@@ -0,0 +1,312 @@
+"""Knowledge of one router about the endpoints: load, speed, health and reuse."""
+
+import dataclasses
+
+import numpy as np
+
+from bronzemux import config, routing
+
+LOAD_REPORT_MAX_AGE_SECONDS = 5.0
+RATE_EWMA_WEIGHT = 0.1
+CONFIDENCE_EWMA_WEIGHT = 0.1
+SUSPECT_AFTER_FAILURES = 1
+EJECTION_SECONDS = 2.0
+MAX_EJECTION_SECONDS = 30.0
+SLOW_START_FLOOR = 0.1
+GAP_DISCOUNT = 0.8
+ROOM_FACTOR = 2.0
+MIN_ROOM = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReport:
+    """Load that an endpoint reports, with a lag.
+
+    Attributes:
+      endpoint: Name.
+      incarnation: Identity of the endpoint's process.
+      running: Requests in a slot.
+      waiting: Requests in the queue.
+      waiting_tokens: Prompt tokens not yet computed.
+    """
+
+    endpoint: str
+    incarnation: str
+    running: int
+    waiting: int
+    waiting_tokens: int
+
+
+@dataclasses.dataclass
+class EndpointState:
+    """What one router knows of one endpoint."""
+
+    endpoint: config.Endpoint
+    incarnation: str = ""
+    in_flight: int = 0
+    outstanding_tokens: int = 0
+    rate: float = 0.0
+    confidence: float = 1.0
+    failures: int = 0
+    ejected_until: float = 0.0
+    cold_since: float = -1e9
+    leaving: bool = False
+    is_dead: bool = False
+    report: LoadReport | None = None
+    reported_at: float = -1e9
+    own_at_report: int = 0
+    weights: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def __post_init__(self):
+        self.rate = self.rate or self.endpoint.prefill_tokens_per_second
+
+
+class Fleet:
+    """Mutable state of all endpoints; owned by one task.
+
+    Args:
+      data_centre: Data centre of this router.
+    """
+
+    def __init__(self, data_centre: str):
+        self.data_centre = data_centre
+        self.states: dict[str, EndpointState] = {}
+        self.preset: config.Preset | None = None
+        self.names: tuple[str, ...] = ()
+        self.seeds = np.array([], dtype=np.uint64)
+
+    def apply(self, snapshot: config.Config, preset: config.Preset) -> tuple[str, ...]:
+        """Take over the endpoints of a configuration.
+
+        Args:
+          snapshot: The configuration.
+          preset: The preset in force.
+
+        Returns:
+          Names of endpoints that are gone.
+        """
+        self.preset = preset
+        wanted = {endpoint.name: endpoint for endpoint in snapshot.endpoints}
+        gone = tuple(name for name in self.states if name not in wanted)
+        for name in gone:
+            del self.states[name]
+        for name, endpoint in wanted.items():
+            self._adopt(name, endpoint)
+        self.names = tuple(self.states)
+        seeds = [routing.endpoint_seed(name) for name in self.names]
+        self.seeds = np.array(seeds, dtype=np.uint64)
+        return gone
+
+    def _adopt(self, name: str, endpoint: config.Endpoint) -> None:
+        state = self.states.get(name)
+        if state is None:
+            self.states[name] = EndpointState(endpoint)
+        elif state.endpoint != endpoint:
+            state.endpoint = endpoint
+
+    def is_drained(self, state: EndpointState) -> bool:
+        """Return whether an endpoint gets no new work by preset or by notice."""
+        endpoint = state.endpoint
+        by_preset = endpoint.name in self.preset.drained_endpoints
+        by_data_centre = endpoint.data_centre in self.preset.drained_data_centres
+        return state.leaving or by_preset or by_data_centre
+
+    def is_available(self, state: EndpointState, now: float) -> bool:
+        """Return whether an endpoint may get new work."""
+        return not self.is_drained(state) and state.ejected_until <= now
+
+    def take_load_report(self, report: LoadReport, now: float) -> bool:
+        """Take a load report in.
+
+        Args:
+          report: The report.
+          now: Monotonic seconds.
+
+        Returns:
+          Whether the endpoint turned out to be a new incarnation.
+        """
+        state = self.states.get(report.endpoint)
+        if state is None:
+            return False
+        is_new = self.see_incarnation(report.endpoint, report.incarnation, now)
+        state.report = report
+        state.reported_at = now
+        state.own_at_report = state.outstanding_tokens
+        return is_new
+
+    def see_incarnation(self, name: str, incarnation: str, now: float) -> bool:
+        """Record the incarnation that an endpoint shows.
+
+        Args:
+          name: Name of the endpoint.
+          incarnation: Identity of its process.
+          now: Monotonic seconds.
+
+        Returns:
+          Whether it replaced an earlier incarnation, whose cache is gone.
+        """
+        state = self.states.get(name)
+        if state is None or state.incarnation == incarnation:
+            return False
+        is_restart = state.incarnation != ""
+        state.incarnation = incarnation
+        if is_restart:
+            state.cold_since = now
+            state.confidence = 1.0
+            state.report = None
+            state.ejected_until = 0.0
+        return is_restart
+
+    def start_work(self, name: str, tokens: int) -> None:
+        """Count a request that is sent to an endpoint."""
+        state = self.states[name]
+        state.in_flight += 1
+        state.outstanding_tokens += tokens
+
+    def prefill_done(self, name: str, tokens: int) -> None:
+        """Count the tokens of a prompt as computed."""
+        state = self.states.get(name)
+        if state is not None:
+            state.outstanding_tokens = max(0, state.outstanding_tokens - tokens)
+
+    def end_work(self, name: str) -> None:
+        """Count a request as ended."""
+        state = self.states.get(name)
+        if state is not None:
+            state.in_flight = max(0, state.in_flight - 1)
+
+    def succeed(self, name: str) -> None:
+        """Record a success; it ends the ejection."""
+        state = self.states.get(name)
+        if state is not None:
+            state.failures = 0
+            state.ejected_until = 0.0
+
+    def fail(self, name: str, now: float, is_dead: bool) -> bool:
+        """Record a failed attempt and eject the endpoint when the cap allows it.
+
+        Args:
+          name: Name of the endpoint.
+          now: Monotonic seconds.
+          is_dead: Whether the endpoint refused connections; such an endpoint is left out
+            regardless of the cap.
+
+        Returns:
+          Whether the endpoint was ejected.
+        """
+        state = self.states.get(name)
+        if state is None:
+            return False
+        state.failures += 1
+        if state.failures < SUSPECT_AFTER_FAILURES:
+            return False
+        if not is_dead and not self._may_eject(now):
+            return False
+        seconds = EJECTION_SECONDS * 2 ** min(state.failures - SUSPECT_AFTER_FAILURES, 10)
+        state.ejected_until = now + min(seconds, MAX_EJECTION_SECONDS)
+        state.is_dead = state.is_dead or is_dead
+        return True
+
+    def _may_eject(self, now: float) -> bool:
+        ejected = sum(1 for state in self.states.values() if state.ejected_until > now)
+        return ejected + 1 <= max(1, self.preset.ejection_limit * len(self.states))
+
+    def learn_reuse(self, name: str, predicted_tokens: int, cached_tokens: int) -> None:
+        """Adjust the confidence in predicted reuse from an answer's ``cached_tokens``."""
+        state = self.states.get(name)
+        if state is None or predicted_tokens <= 0:
+            return
+        share = min(1.0, cached_tokens / predicted_tokens)
+        state.confidence += CONFIDENCE_EWMA_WEIGHT * (share - state.confidence)
+        state.confidence = max(routing.MIN_CONFIDENCE, state.confidence)
+
+    def learn_rate(self, name: str, computed_tokens: int, seconds: float) -> None:
+        """Adjust the prefill rate from an answer that did not wait."""
+        state = self.states.get(name)
+        if state is None or computed_tokens <= 0 or seconds <= 0:
+            return
+        state.rate += RATE_EWMA_WEIGHT * (computed_tokens / seconds - state.rate)
+
+    def view(self, now: float, peers: int = 1) -> routing.FleetView:
+        """Return an immutable view for one decision.
+
+        Args:
+          now: Monotonic seconds.
+          peers: Number of routers that share the endpoints.
+        """
+        states = list(self.states.values())
+        rate = np.array([state.rate for state in states])
+        return routing.FleetView(
+            names=self.names,
+            seeds=self.seeds,
+            weights=np.array([state.endpoint.prefill_tokens_per_second for state in states]),
+            rate=rate,
+            wait=np.array([self._backlog(state, now) for state in states]) / rate,
+            room=np.array([self._room(state, now, peers) for state in states]),
+            confidence=np.array([state.confidence for state in states]),
+            remote=np.array([state.endpoint.data_centre != self.data_centre for state in states]),
+        )
+
+    def _backlog(self, state: EndpointState, now: float) -> float:
+        """Return prompt tokens ahead of a new request: own ones and those of other routers."""
+        if state.report is None or now - state.reported_at > LOAD_REPORT_MAX_AGE_SECONDS:
+            return state.outstanding_tokens
+        others = max(0, state.report.waiting_tokens - state.own_at_report)
+        return state.outstanding_tokens + others
+
+    def _room(self, state: EndpointState, now: float, peers: int) -> int:
+        """Return how many more requests this router may send to an endpoint.
+
+        A router may use `ROOM_FACTOR` times its equal part of the slots, because routers do not
+        load the endpoints alike.
+        """
+        if not self.is_available(state, now):
+            return 0
+        part = state.endpoint.slots * min(1.0, ROOM_FACTOR / peers)
+        capacity = max(MIN_ROOM, part) * self._warmth(state, now)
+        return max(0, int(max(1.0, capacity)) - state.in_flight)
+
+    def _warmth(self, state: EndpointState, now: float) -> float:
+        """Return the share of its room that an endpoint gets during slow start."""
+        if self.preset.slow_start_seconds <= 0:
+            return 1.0
+        age = (now - state.cold_since) / self.preset.slow_start_seconds
+        return min(1.0, max(SLOW_START_FLOOR, age))
+
+    def allowed(
+        self, model: str, service: str, excluded: frozenset[str], version: str = ""
+    ) -> np.ndarray:
+        """Return which endpoints serve a model or service.
+
+        Args:
+          model: Name of the model, or the empty string.
+          service: Name of the service, or the empty string.
+          excluded: Endpoints that must not be chosen.
+          version: Weights version that must be loaded, as far as the endpoint reported any.
+
+        Returns:
+          Boolean array, one element an endpoint.
+        """
+        return np.array(
+            [
+                name not in excluded
+                and (model in state.endpoint.models or service in state.endpoint.services)
+                and state.weights.get(model, version) == version
+                for name, state in self.states.items()
+            ],
+            dtype=bool,
+        )
+
+    def doubt(self, name: str) -> None:
+        """Trust predicted reuse less after cache events were lost."""
+        state = self.states.get(name)
+        if state is not None:
+            state.confidence = max(routing.MIN_CONFIDENCE, state.confidence * GAP_DISCOUNT)
+
+    def revive(self, name: str) -> None:
+        """Record that an endpoint answers its watcher, which ends an ejection as dead."""
+        state = self.states.get(name)
+        if state is not None and state.is_dead:
+            state.is_dead = False
+            state.failures = 0
+            state.ejected_until = 0.0
--- /dev/null
+++ b/bronzemux/index.py
@@ -0,0 +1,122 @@
+"""Prefix index: which endpoint holds which pieces."""
+
+import collections
+
+DEFAULT_CAPACITY = 200_000
+MAX_RETIRED_BITS = 64
+
+
+class PrefixIndex:
+    """Bounded map from piece keys to the endpoints that hold them.
+
+    Every endpoint incarnation owns one bit; an entry is the set of bits as an integer.
+    Forgetting an endpoint retires its bit in constant time.
+
+    Args:
+      capacity: Maximum number of keys; the least recently used go first.
+    """
+
+    def __init__(self, capacity: int = DEFAULT_CAPACITY):
+        self.capacity = capacity
+        self.entries: collections.OrderedDict[int, int] = collections.OrderedDict()
+        self.bits: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+        self.live = 0
+        self.retired = 0
+        self.free_bits: list[int] = []
+        self.next_bit = 0
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def insert(self, endpoint: str, keys: tuple[int, ...]) -> None:
+        """Record that an endpoint holds pieces.
+
+        Args:
+          endpoint: Name of the endpoint.
+          keys: Keys of the pieces.
+        """
+        mask = 1 << self._bit(endpoint)
+        entries = self.entries
+        for key in keys:
+            entries[key] = entries.get(key, 0) | mask
+            entries.move_to_end(key)
+        while len(entries) > self.capacity:
+            entries.popitem(last=False)
+
+    def remove(self, endpoint: str, keys: tuple[int, ...]) -> None:
+        """Record that an endpoint evicted pieces.
+
+        Args:
+          endpoint: Name of the endpoint.
+          keys: Keys of the pieces.
+        """
+        if endpoint not in self.bits:
+            return
+        keep = ~(1 << self.bits[endpoint])
+        for key in keys:
+            if key in self.entries:
+                self._store(key, self.entries[key] & keep & self.live)
+
+    def forget(self, endpoint: str) -> None:
+        """Drop everything that an endpoint held, in constant time.
+
+        Args:
+          endpoint: Name of the endpoint.
+        """
+        bit = self.bits.pop(endpoint, None)
+        if bit is None:
+            return
+        del self.names[bit]
+        self.live &= ~(1 << bit)
+        self.retired |= 1 << bit
+        if self.retired.bit_count() > MAX_RETIRED_BITS:
+            self._purge()
+
+    def overlaps(self, keys: tuple[int, ...]) -> dict[str, int]:
+        """Return how many leading pieces each endpoint holds.
+
+        Args:
+          keys: Chain of the prompt.
+
+        Returns:
+          Number of pieces by endpoint; endpoints that hold none are left out.
+        """
+        result: dict[str, int] = {}
+        holders = self.live
+        for level, key in enumerate(keys):
+            remaining = holders & self.entries.get(key, 0)
+            if remaining != holders:
+                self._assign(result, holders & ~remaining, level)
+            if not remaining:
+                return result
+            holders = remaining
+        self._assign(result, holders, len(keys))
+        return result
+
+    def _assign(self, result: dict[str, int], mask: int, level: int) -> None:
+        while mask and level:
+            lowest = mask & -mask
+            result[self.names[lowest.bit_length() - 1]] = level
+            mask ^= lowest
+
+    def _bit(self, endpoint: str) -> int:
+        if endpoint not in self.bits:
+            bit = self.free_bits.pop() if self.free_bits else self.next_bit
+            self.next_bit = max(self.next_bit, bit + 1)
+            self.bits[endpoint] = bit
+            self.names[bit] = endpoint
+            self.live |= 1 << bit
+        return self.bits[endpoint]
+
+    def _store(self, key: int, mask: int) -> None:
+        if mask:
+            self.entries[key] = mask
+        else:
+            del self.entries[key]
+
+    def _purge(self) -> None:
+        for key, mask in list(self.entries.items()):
+            self._store(key, mask & self.live)
+        self.free_bits.extend(b for b in range(self.next_bit) if self.retired >> b & 1)
+        self.retired = 0
--- /dev/null
+++ b/bronzemux/resume_token.py
@@ -0,0 +1,90 @@
+"""Signed tokens that let any router read on a stream that another router served."""
+
+import base64
+import binascii
+import dataclasses
+import hashlib
+import hmac
+
+import cbor2
+
+from bronzemux import errors
+
+MAC_BYTES = 16
+MAX_TOKEN_LENGTH = 1000
+LIFETIME_SECONDS = 600
+
+
+@dataclasses.dataclass(frozen=True)
+class Token:
+    """Content of a token.
+
+    Attributes:
+      team: Name of the team that may read the stream.
+      endpoint: Name of the endpoint that runs the request.
+      incarnation: Process of the engine.
+      request_id: Identity of the job at the engine.
+      base: Number that the engine's first part has for the caller.
+      wants_usage: Whether the caller gets the usage part.
+      issued: UTC seconds.
+    """
+
+    team: str
+    endpoint: str
+    incarnation: str
+    request_id: str
+    base: int
+    wants_usage: bool
+    issued: int
+
+
+def sign(token: Token, key: bytes) -> str:
+    """Return the token as text with its authentication code.
+
+    Args:
+      token: Content.
+      key: Key that all routers share.
+    """
+    payload = cbor2.dumps(dataclasses.astuple(token))
+    return base64.urlsafe_b64encode(_code(payload, key) + payload).decode()
+
+
+def verify(text: str, key_ring: tuple[bytes, ...], now: float) -> Token:
+    """Return the content of a token.
+
+    Args:
+      text: Token as the caller sent it.
+      key_ring: Keys that are accepted.
+      now: UTC seconds.
+
+    Raises:
+      errors.InvalidRequestError: When it is not genuine or too old.
+    """
+    raw = _decode(text)
+    code, payload = raw[:MAC_BYTES], raw[MAC_BYTES:]
+    matches = [hmac.compare_digest(code, _code(payload, key)) for key in key_ring]
+    if not any(matches):
+        raise _invalid("it is not genuine")
+    token = Token(*cbor2.loads(payload))
+    if now - token.issued > LIFETIME_SECONDS:
+        raise _invalid("it is too old")
+    return token
+
+
+def _decode(text: str) -> bytes:
+    if len(text) > MAX_TOKEN_LENGTH:
+        raise _invalid("it is too long")
+    try:
+        return base64.urlsafe_b64decode(text.encode("ascii"))
+    except (binascii.Error, ValueError) as error:
+        raise _invalid("it is not base64") from error
+
+
+def _code(payload: bytes, key: bytes) -> bytes:
+    return hmac.new(key, payload, hashlib.sha256).digest()[:MAC_BYTES]
+
+
+def _invalid(reason: str) -> errors.InvalidRequestError:
+    return errors.InvalidRequestError(
+        f"the resume token is refused: {reason}", "send the request again if it is idempotent"
+    )
--- /dev/null
+++ b/bronzemux/service_call.py
@@ -0,0 +1,89 @@
+"""Execution of a request for a plain service."""
+
+import dataclasses
+
+from bronzemux import engine_http, errors, forward, http_client, messages, requests
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+HTTP_SERVER_ERROR = 500
+PASSED_HEADERS = ("Content-Type", "Retry-After")
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceAnswer:
+    """Whole answer of a plain service."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class ServiceExecution(forward.Admission):
+    """One service request from admission to its answer.
+
+    Args:
+      request: The request.
+      tools: What executing needs.
+      timeouts: Limits of waiting.
+    """
+
+    def __init__(self, request: requests.ServiceRequest, tools, timeouts: http_client.Timeouts):
+        super().__init__(request, tools)
+        self.timeouts = timeouts
+
+    def answer(self) -> ServiceAnswer:
+        """Return the answer.
+
+        Raises:
+          errors.RequestError: When there is none; its outcome is true.
+        """
+        try:
+            while True:
+                assignment = self.assignment()
+                answer = self._attempt(assignment)
+                if answer is not None:
+                    return answer
+        finally:
+            self.tools.dispatcher.send(messages.RequestEnded(self.request))
+
+    def _attempt(self, assignment: messages.Assignment) -> ServiceAnswer | None:
+        self.attempts += 1
+        failure: errors.EndpointError | None = errors.EndpointLostError("cut off", "none needed")
+        try:
+            answer = self._exchange(assignment)
+            failure = None
+            return answer
+        except errors.EndpointError as error:
+            failure = error
+            self.check_continue(assignment, error)
+            return None
+        finally:
+            self.end(assignment, failure)
+
+    def _exchange(self, assignment: messages.Assignment) -> ServiceAnswer:
+        endpoint = assignment.endpoint
+        connection = http_client.Connection(endpoint.host, endpoint.port, self.timeouts)
+        try:
+            self.may_have_run = True
+            request = self.request
+            connection.send(request.method, request.path, self._headers(), request.body)
+            response = connection.receive(request.method)
+            body = connection.read_all()
+        finally:
+            connection.close()
+        if response.get(engine_http.HEADER_OUTCOME) == engine_http.OUTCOME_NOT_RUN:
+            self.may_have_run = False
+            raise errors.EndpointRefusedError(
+                f"{endpoint.name} refused the request", "send to another endpoint"
+            )
+        headers = [(name, response.get(name)) for name in PASSED_HEADERS if response.get(name)]
+        return ServiceAnswer(response.status_code, tuple(headers), body)
+
+    def _headers(self) -> dict[str, str]:
+        head = self.request.head
+        headers = {engine_http.HEADER_REQUEST: head.id, "X-Team": head.team.name}
+        if self.request.content_type:
+            headers["Content-Type"] = self.request.content_type
+        if head.idempotency_key:
+            headers[engine_http.HEADER_IDEMPOTENCY] = head.idempotency_key
+        return headers
--- /dev/null
+++ b/bronzemux/settings.py
@@ -0,0 +1,112 @@
+"""Settings from flags and environment variables."""
+
+import dataclasses
+import os
+import sys
+
+from absl import flags
+
+from bronzemux import errors
+
+ENVIRONMENT_PREFIX = "BRONZEMUX_"
+EXIT_USAGE = 2
+DEFAULT_MESH_KEY = "development-only"
+
+
+@dataclasses.dataclass(frozen=True)
+class RouterSettings:
+    """Settings of one router.
+
+    Attributes:
+      name: Name of the VM.
+      data_centre: Data centre of the VM.
+      host: IP number to listen on.
+      port: TCP port for callers.
+      peer_port: TCP port for other routers.
+      platform_host: IP number of the platform's services.
+      platform_port: TCP port of the platform's services.
+      mesh_keys: Shared keys between routers; the first one signs, all are accepted.
+      max_body_bytes: Longest accepted body.
+      body_seconds: Time for a body to arrive.
+      drain_seconds: Time for requests to end after a stop signal.
+      connect_seconds: Time to connect to an endpoint.
+      progress_seconds: Longest pause in an answer of an endpoint.
+    """
+
+    name: str
+    data_centre: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    peer_port: int = 0
+    platform_host: str = "127.0.0.1"
+    platform_port: int = 7000
+    mesh_keys: tuple[str, ...] = (DEFAULT_MESH_KEY,)
+    max_body_bytes: int = 8 * 1024 * 1024
+    body_seconds: float = 15.0
+    drain_seconds: float = 60.0
+    connect_seconds: float = 0.5
+    progress_seconds: float = 5.0
+
+
+def environment_name(flag: str) -> str:
+    """Return the environment variable of a flag."""
+    return ENVIRONMENT_PREFIX + flag.upper()
+
+
+def load_environment(values: flags.FlagValues, module: str) -> None:
+    """Set the flags of a module that were not given from environment variables.
+
+    Args:
+      values: Parsed flags.
+      module: Name of the module that defines the flags.
+
+    Raises:
+      errors.SettingError: Names the variable, its value and the remedy.
+    """
+    for flag in values.flags_by_module_dict().get(module, []):
+        name = environment_name(flag.name)
+        if name not in os.environ or flag.present:
+            continue
+        try:
+            flag.parse(os.environ[name])
+            flag.using_default_value = False
+        except flags.IllegalFlagValueError as error:
+            raise errors.SettingError(
+                f"{name}={os.environ[name]!r} is not usable: {error}",
+                f"correct it or give --{flag.name}",
+            ) from error
+
+
+def parse(arguments: list[str], module: str) -> list[str]:
+    """Parse flags and environment variables; print the mistake and exit with 2 on one.
+
+    Args:
+      arguments: Command line with the program's name.
+      module: Name of the module that defines the flags.
+
+    Returns:
+      Arguments that are not flags, without the program's name.
+    """
+    try:
+        rest = flags.FLAGS(arguments)[1:]
+        load_environment(flags.FLAGS, module)
+        flags.FLAGS.validate_all_flags()
+        return rest
+    except (flags.Error, errors.SettingError) as error:
+        fail(f"{error}; see --help")
+
+
+def fail(message: str, status: int = EXIT_USAGE):
+    """Print an error and end the program.
+
+    Args:
+      message: The error and its remedy.
+      status: Exit status.
+    """
+    print(f"error: {message}", file=sys.stderr)
+    raise SystemExit(status)
+
+
+def check_port(value: int) -> bool:
+    """Return whether a number is a TCP port or 0."""
+    return 0 <= value < 65536
--- /dev/null
+++ b/bronzemux/standin_engine.py
@@ -0,0 +1,470 @@
+"""Stand-in model engine: a bounded prefix cache, queues, streams, and faults on demand."""
+
+import collections
+import dataclasses
+import hashlib
+import heapq
+import itertools
+import json
+import urllib.parse
+from collections.abc import Iterator
+
+import gevent
+from gevent import event
+
+from bronzemux import clock as clocks
+from bronzemux import engine, engine_http, http_server, prefix, prompt
+
+DEFAULT_MAX_TOKENS = 16
+KEPT_WORKS = 2000
+KEPT_EVENTS = 50_000
+SUMMARY_LENGTH = 8
+HTTP_CONFLICT = 409
+
+
+@dataclasses.dataclass(frozen=True)
+class StandinSettings:
+    """Sizes of a stand-in engine.
+
+    Attributes:
+      name: Name of the endpoint.
+      host: IP number to listen on.
+      port: TCP port, 0 for any.
+      models: Weights version by model.
+      prefill_tokens_per_second: Speed of computing prompts.
+      token_seconds: Time of one generated token.
+      slots: Requests that run at once.
+      cache_pieces: Pieces that the cache holds.
+      piece_bytes: Size of a piece.
+      load_seconds: Time to load weights.
+      checks_fencing: Whether orders with an old fencing token are refused.
+    """
+
+    name: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    models: tuple[tuple[str, str], ...] = ()
+    prefill_tokens_per_second: float = 50_000.0
+    token_seconds: float = 0.002
+    slots: int = 16
+    cache_pieces: int = 1_000
+    piece_bytes: int = 4096
+    load_seconds: float = 0.8
+    checks_fencing: bool = False
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults that are in force.
+
+    Attributes:
+      slowness: Factor on all times.
+      poison: Text whose prompt crashes the engine; empty for none.
+      dropped_events: Number of cache events still to lose.
+      refuses: Whether new work is refused as not run.
+    """
+
+    slowness: float = 1.0
+    poison: str = ""
+    dropped_events: int = 0
+    refuses: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Execution:
+    """One start of a job, for checkers."""
+
+    endpoint: str
+    incarnation: str
+    request_id: str
+    idempotency_key: str
+
+
+class Cache:
+    """Prefix cache with least-recently-used eviction and an event log.
+
+    Args:
+      capacity: Pieces that it holds.
+    """
+
+    def __init__(self, capacity: int):
+        self.capacity = capacity
+        self.keys: collections.OrderedDict[int, None] = collections.OrderedDict()
+        self.events: collections.deque[tuple[int, int, bool]] = collections.deque(
+            maxlen=KEPT_EVENTS
+        )
+        self.sequence = itertools.count(1)
+        self.last = 0
+
+    def lookup(self, chain: tuple[int, ...]) -> int:
+        """Return the number of leading pieces that are held, and mark them as used."""
+        held = 0
+        for key in chain:
+            if key not in self.keys:
+                break
+            self.keys.move_to_end(key)
+            held += 1
+        return held
+
+    def store(self, chain: tuple[int, ...]) -> None:
+        """Put pieces in; the least recently used go."""
+        for key in chain:
+            if key not in self.keys:
+                self._note(key, True)
+            self.keys[key] = None
+            self.keys.move_to_end(key)
+        while len(self.keys) > self.capacity:
+            key, _ = self.keys.popitem(last=False)
+            self._note(key, False)
+
+    def _note(self, key: int, is_stored: bool) -> None:
+        self.last = next(self.sequence)
+        self.events.append((self.last, key, is_stored))
+
+
+class PrefillQueue:
+    """Order in which prompts are computed: by priority, then arrival."""
+
+    def __init__(self):
+        self.waiting: list[tuple[int, int, event.Event]] = []
+        self.counter = itertools.count()
+        self.is_busy = False
+
+    def acquire(self, priority: int) -> None:
+        """Wait for the turn."""
+        if not self.is_busy:
+            self.is_busy = True
+            return
+        turn = event.Event()
+        heapq.heappush(self.waiting, (priority, next(self.counter), turn))
+        turn.wait()
+
+    def release(self) -> None:
+        """Pass the turn on."""
+        if self.waiting:
+            heapq.heappop(self.waiting)[2].set()
+        else:
+            self.is_busy = False
+
+
+@dataclasses.dataclass
+class Work:
+    """A job and the parts of its answer so far."""
+
+    request_id: str
+    path: str
+    body: dict
+    chain: tuple[int, ...]
+    tokens: int
+    priority: int
+    continue_text: str
+    parts: list[bytes] = dataclasses.field(default_factory=list)
+    changed: event.Event = dataclasses.field(default_factory=event.Event)
+    is_done: bool = False
+    is_cancelled: bool = False
+
+    def append(self, data: bytes) -> None:
+        """Add a part and wake the readers."""
+        self.parts.append(data)
+        self.is_done = data == engine.DONE
+        self.changed.set()
+        self.changed.clear()
+
+    def read(self, offset: int) -> Iterator[bytes]:
+        """Iterate over events from a part on, waiting for new ones."""
+        number = offset
+        while True:
+            while number < len(self.parts):
+                yield engine_http.encode_event(number, self.parts[number])
+                number += 1
+            if self.is_done or self.is_cancelled:
+                return
+            self.changed.wait()
+
+
+class StandinEngine:
+    """Engine that answers with reproducible words.
+
+    The words depend on the prompt and on the engine that began the answer; an answer that is
+    continued keeps the style of its beginning, as a model would. Checkers can so tell an answer
+    that was mixed from two.
+
+    Args:
+      settings: Sizes.
+      clock: Source of time.
+    """
+
+    def __init__(self, settings: StandinSettings, clock: clocks.Clock):
+        self.settings = settings
+        self.clock = clock
+        self.faults = Faults()
+        self.executions: list[Execution] = []
+        self.orders: list[engine.Order] = []
+        self.highest_fence = 0
+        self.weights = dict(settings.models)
+        self.restarts = 0
+        self.port = settings.port
+        self.is_up = False
+        self.computed_tokens = 0
+        self.prompt_tokens = 0
+        self._reset()
+
+    # Life of the process
+
+    def _reset(self) -> None:
+        digest = hashlib.sha256(f"{self.settings.name}/{self.restarts}".encode()).hexdigest()
+        self.incarnation = digest[:SUMMARY_LENGTH]
+        self.cache = Cache(self.settings.cache_pieces)
+        self.works: collections.OrderedDict[str, Work] = collections.OrderedDict()
+        self.prefill = PrefillQueue()
+        self.running = 0
+        self.waiting_tokens = 0
+        self.greenlets: set[gevent.Greenlet] = set()
+        self.muted: set = set()
+
+    def start(self) -> None:
+        """Listen; the port stays the same over restarts."""
+        listener = (self.settings.host, self.port)
+        self.server = http_server.Server(listener, self.application)
+        self.server.start()
+        self.port = self.server.server_port
+        self.is_up = True
+
+    def crash(self) -> None:
+        """End at once: connections are cut, work and cache are gone."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.server.abort()
+        gevent.killall([g for g in self.greenlets if g is not gevent.getcurrent()], block=False)
+
+    def restart(self) -> None:
+        """Come back with an empty cache and a new incarnation."""
+        self.restarts += 1
+        self._reset()
+        self.start()
+
+    def mute_open_connections(self) -> None:
+        """Let the connections that are open go silent for good; new ones work."""
+        self.muted.update(self.server.open_sockets)
+
+    # Interface
+
+    def application(self, environ, start_response):
+        """Serve one request (WSGI)."""
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        if method == "POST" and path in (prompt.CHAT_PATH, prompt.TEXT_PATH):
+            return self._start_job(environ, start_response)
+        if path.startswith("/requests/"):
+            return self._request(environ, start_response)
+        if path == "/state":
+            return self._state(environ, start_response)
+        if method == "POST" and path == "/orders":
+            return self._order(environ, start_response)
+        return http_server.respond(start_response, 404, b"{}")
+
+    def _start_job(self, environ, start_response):
+        raw = environ["wsgi.input"].read()
+        suffix = int(environ.get("HTTP_X_CONTINUE_BYTES", 0))
+        body = json.loads(raw[: len(raw) - suffix])
+        continue_text = raw[len(raw) - suffix :].decode()
+        weights = environ.get("HTTP_X_WEIGHTS_VERSION", "")
+        if self.faults.refuses or self.weights.get(body.get("model")) != weights:
+            headers = [(engine_http.HEADER_OUTCOME, engine_http.OUTCOME_NOT_RUN)]
+            return http_server.respond(start_response, 503, b'{"error":"refused"}', headers)
+        request_id = environ["HTTP_X_REQUEST_ID"]
+        work = self.works.get(request_id)
+        if work is None:
+            work = self._new_work(environ, body, request_id, continue_text)
+        return self._answer(environ, start_response, work, 0)
+
+    def _new_work(self, environ, body, request_id: str, continue_text: str) -> Work:
+        text = prompt.render(environ["PATH_INFO"], body)
+        seed = bytes.fromhex(environ.get("HTTP_X_CACHE_SALT", ""))
+        chain = prefix.chain(seed, text, self.settings.piece_bytes)
+        tokens = prompt.token_estimate(text)
+        priority = int(environ.get("HTTP_X_PRIORITY", 5))
+        path = environ["PATH_INFO"]
+        work = Work(request_id, path, body, chain, tokens, priority, continue_text)
+        self.works[request_id] = work
+        while len(self.works) > KEPT_WORKS:
+            self.works.popitem(last=False)
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        self.executions.append(Execution(self.settings.name, self.incarnation, request_id, key))
+        if self.faults.poison and self.faults.poison.encode() in text:
+            gevent.spawn(self.crash)
+            gevent.sleep(0)
+        greenlet = gevent.spawn(self._run, work)
+        self.greenlets.add(greenlet)
+        greenlet.rawlink(self.greenlets.discard)
+        return work
+
+    def _run(self, work: Work) -> None:
+        self.waiting_tokens += work.tokens
+        self.prefill.acquire(work.priority)
+        self.running += 1
+        try:
+            cached = self._compute_prompt(work)
+        finally:
+            self.waiting_tokens -= work.tokens
+            self.prefill.release()
+        try:
+            if not work.is_cancelled:
+                self._generate(work, cached)
+        finally:
+            self.running -= 1
+
+    def _compute_prompt(self, work: Work) -> int:
+        """Return the tokens that were cached."""
+        if work.is_cancelled:
+            return 0
+        piece_tokens = work.tokens // max(1, len(work.chain)) if work.chain else 0
+        piece_tokens = min(piece_tokens, self.settings.piece_bytes // 4)
+        cached = self.cache.lookup(work.chain) * piece_tokens
+        missing = work.tokens - cached
+        self.prompt_tokens += work.tokens
+        self.computed_tokens += missing
+        rate = self.settings.prefill_tokens_per_second
+        self.clock.sleep(missing / rate * self.faults.slowness)
+        self.cache.store(work.chain)
+        return cached
+
+    def _generate(self, work: Work, cached: int) -> None:
+        total = int(
+            work.body.get("max_completion_tokens")
+            or work.body.get("max_tokens")
+            or DEFAULT_MAX_TOKENS
+        )
+        words = work.continue_text.split()
+        style = words[0] if words else f"<{self.settings.name}.{work.request_id}>"
+        if work.path == prompt.CHAT_PATH and not words:
+            self._emit(work, {"role": "assistant", "content": ""}, None)
+        for position in range(len(words), total):
+            self.clock.sleep(self.settings.token_seconds * self.faults.slowness)
+            if work.is_cancelled:
+                return
+            word = style if position == 0 else answer_word(style, position)
+            text = word if position == 0 else " " + word
+            self._emit(work, {"content": text}, "length" if position + 1 == total else None)
+        self._emit_usage(work, cached, total)
+        work.append(engine.DONE)
+
+    def _emit(self, work: Work, delta: dict, finish: str | None) -> None:
+        choice = {"index": 0, "finish_reason": finish}
+        if work.path == prompt.CHAT_PATH:
+            choice["delta"] = delta
+        else:
+            choice["text"] = delta.get("content", "")
+        work.append(self._chunk(work, {"choices": [choice]}))
+
+    def _emit_usage(self, work: Work, cached: int, generated: int) -> None:
+        usage = {
+            "prompt_tokens": work.tokens,
+            "completion_tokens": generated,
+            "total_tokens": work.tokens + generated,
+            "prompt_tokens_details": {"cached_tokens": cached},
+        }
+        work.append(self._chunk(work, {"choices": [], "usage": usage}))
+
+    def _chunk(self, work: Work, fields: dict) -> bytes:
+        kind = "chat.completion.chunk" if work.path == prompt.CHAT_PATH else "text_completion"
+        created = int(self.clock.now().timestamp())
+        chunk = {
+            "id": f"cmpl-{work.request_id}",
+            "object": kind,
+            "created": created,
+            "model": work.body.get("model"),
+        }
+        return json.dumps(chunk | fields, ensure_ascii=False).encode()
+
+    def _answer(self, environ, start_response, work: Work, offset: int):
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            (engine_http.HEADER_REQUEST, work.request_id),
+            (engine_http.HEADER_INCARNATION, self.incarnation),
+        ]
+        start_response("200 OK", headers)
+        return self._events(environ, work, offset)
+
+    def _events(self, environ, work: Work, offset: int) -> Iterator[bytes]:
+        peer = (environ["REMOTE_ADDR"], int(environ["REMOTE_PORT"]))
+        for chunk in work.read(offset):
+            if self._is_muted(peer):
+                event.Event().wait()
+            yield chunk
+
+    def _is_muted(self, peer) -> bool:
+        return any(_peer_name(sock) == peer for sock in self.muted)
+
+    def _request(self, environ, start_response):
+        request_id = environ["PATH_INFO"].removeprefix("/requests/")
+        work = self.works.get(request_id)
+        if work is None:
+            return http_server.respond(start_response, 404, b'{"error":"unknown request"}')
+        if environ["REQUEST_METHOD"] == "DELETE":
+            work.is_cancelled = True
+            work.changed.set()
+            return http_server.respond(start_response, 200, b"{}")
+        offset = int(_query(environ).get("offset", 0))
+        return self._answer(environ, start_response, work, offset)
+
+    def _state(self, environ, start_response):
+        after = int(_query(environ).get("after", 0))
+        events = [item for item in self.cache.events if item[0] > after]
+        lost, self.faults.dropped_events = min(len(events), self.faults.dropped_events), 0
+        events = events[lost:]
+        body = {
+            "incarnation": self.incarnation,
+            "running": self.running,
+            "waiting": len(self.prefill.waiting),
+            "waiting_tokens": self.waiting_tokens,
+            "first": events[0][0] if events else self.cache.last + 1,
+            "last": self.cache.last,
+            "stored": [f"{key:016x}" for _, key, is_stored in events if is_stored],
+            "evicted": [f"{key:016x}" for _, key, is_stored in events if not is_stored],
+            "weights": self.weights,
+        }
+        return http_server.respond(start_response, 200, json.dumps(body).encode())
+
+    def _order(self, environ, start_response):
+        order = engine.Order(**json.loads(environ["wsgi.input"].read()))
+        if self.settings.checks_fencing and order.fencing_token < self.highest_fence:
+            headers = [(engine_http.HEADER_OUTCOME, engine_http.OUTCOME_NOT_RUN)]
+            body = b'{"error":"old fencing token"}'
+            return http_server.respond(start_response, HTTP_CONFLICT, body, headers)
+        self.highest_fence = max(self.highest_fence, order.fencing_token)
+        self.orders.append(order)
+        if order.weights_version and self.weights.get(order.model) != order.weights_version:
+            self.clock.sleep(self.settings.load_seconds * self.faults.slowness)
+            self.weights[order.model] = order.weights_version
+        return http_server.respond(start_response, 200, b"{}")
+
+
+def answer_word(style: str, position: int) -> str:
+    """Return the word of an answer at a position.
+
+    Args:
+      style: First word of the answer.
+      position: Position of the word, from 1.
+    """
+    digest = hashlib.blake2b(f"{style}/{position}".encode(), digest_size=3).hexdigest()
+    return f"{position}:{digest}"
+
+
+def is_whole_answer(text: str, count: int) -> bool:
+    """Return whether a text is one answer of `count` words, complete, in order and unmixed."""
+    words = text.split()
+    if len(words) != count or not words[0].startswith("<"):
+        return False
+    return all(word == answer_word(words[0], i) for i, word in enumerate(words) if i)
+
+
+def _query(environ) -> dict[str, str]:
+    return dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+
+
+def _peer_name(sock):
+    try:
+        return sock.getpeername()[:2]
+    except OSError:
+        return None
--- /dev/null
+++ b/bronzemux/standin_platform.py
@@ -0,0 +1,103 @@
+"""Stand-in platform: table service, object store and VM list over HTTP, with faults on demand."""
+
+import dataclasses
+import urllib.parse
+
+import cbor2
+
+from bronzemux import clock as clocks
+from bronzemux import errors, http_server, objects, table, vms
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults that are in force.
+
+    Attributes:
+      is_down: Whether connections are cut before the operation.
+      lost_answers: Number of writes still to lose the answer of, after they took effect.
+      delay_seconds: Pause before each operation.
+    """
+
+    is_down: bool = False
+    lost_answers: int = 0
+    delay_seconds: float = 0.0
+
+
+class StandinPlatform:
+    """The platform's services on one port.
+
+    Args:
+      clock: Source of time.
+      port: TCP port, 0 for any.
+    """
+
+    def __init__(self, clock: clocks.Clock, port: int = 0):
+        self.clock = clock
+        self.port = port
+        self.table = table.MemoryTable()
+        self.objects = objects.MemoryObjects()
+        self.vms = vms.MemoryVmList()
+        self.faults = Faults()
+
+    def start(self) -> None:
+        """Listen."""
+        self.server = http_server.Server(("127.0.0.1", self.port), self.application)
+        self.server.start()
+        self.port = self.server.server_port
+
+    def stop(self) -> None:
+        """Cut all connections and stop listening."""
+        self.server.abort()
+
+    def application(self, environ, start_response):
+        """Serve one request (WSGI)."""
+        body = environ["wsgi.input"].read()
+        if self.faults.delay_seconds:
+            self.clock.sleep(self.faults.delay_seconds)
+        if self.faults.is_down:
+            return self._cut()
+        status, answer, is_write = self._operate(environ, body)
+        if is_write and self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            return self._cut()
+        return http_server.respond(start_response, status, answer)
+
+    def _cut(self):
+        for sock in list(self.server.open_sockets):
+            http_server.cut(sock)
+        return []
+
+    def _operate(self, environ, body: bytes) -> tuple[int, bytes, bool]:
+        path = environ["PATH_INFO"]
+        if path == "/vms":
+            items = [dataclasses.asdict(vm) for vm in self.vms.list()]
+            return 200, cbor2.dumps(items), False
+        if path.startswith("/objects/"):
+            return self._object(environ["REQUEST_METHOD"], path, body)
+        return self._table(path.removeprefix("/table/"), cbor2.loads(body))
+
+    def _object(self, method: str, path: str, body: bytes) -> tuple[int, bytes, bool]:
+        name = urllib.parse.unquote(path.removeprefix("/objects/"))
+        if method == "PUT":
+            self.objects.put(name, body)
+            return 200, b"", True
+        if method == "DELETE":
+            self.objects.delete(name)
+            return 200, b"", True
+        content = self.objects.get(name)
+        return (404, b"", False) if content is None else (200, content, False)
+
+    def _table(self, operation: str, body) -> tuple[int, bytes, bool]:
+        if operation == "read":
+            rows = self.table.read(body)
+            items = [dataclasses.astuple(row) if row else None for row in rows]
+            return 200, cbor2.dumps(items), False
+        if operation == "scan":
+            rows = self.table.scan(*body)
+            return 200, cbor2.dumps([dataclasses.astuple(row) for row in rows]), False
+        try:
+            self.table.transact([table.Write(*item) for item in body])
+        except errors.WriteConflictError as error:
+            return 200, cbor2.dumps(list(error.keys)), True
+        return 200, cbor2.dumps([]), True
--- /dev/null
+++ b/bronzemux/standin_service.py
@@ -0,0 +1,88 @@
+"""Stand-in plain service: filings or orders that must not run twice, and status look-ups."""
+
+import dataclasses
+import json
+
+from gevent import event
+
+from bronzemux import clock as clocks
+from bronzemux import engine_http, http_server
+
+MODES = ("ordinary", "refuse", "crash_before", "crash_after", "silent_after", "error")
+
+
+@dataclasses.dataclass(frozen=True)
+class Filing:
+    """One execution of a filing."""
+
+    key: str
+    content: bytes
+    number: int
+
+
+class StandinService:
+    """Service that counts its executions.
+
+    Args:
+      name: Name of the endpoint.
+      clock: Source of time.
+      port: TCP port, 0 for any.
+      work_seconds: Time of one filing.
+    """
+
+    def __init__(self, name: str, clock: clocks.Clock, port: int = 0, work_seconds: float = 0.005):
+        self.name = name
+        self.clock = clock
+        self.port = port
+        self.work_seconds = work_seconds
+        self.filings: list[Filing] = []
+        self.next_modes: list[str] = []
+        self.is_up = False
+
+    def start(self) -> None:
+        """Listen; the port stays the same over restarts."""
+        self.server = http_server.Server(("127.0.0.1", self.port), self.application)
+        self.server.start()
+        self.port = self.server.server_port
+        self.is_up = True
+
+    def crash(self) -> None:
+        """Cut all connections and stop listening."""
+        self.is_up = False
+        self.server.abort()
+
+    def application(self, environ, start_response):
+        """Serve one request (WSGI): POST files, GET looks up."""
+        if environ["REQUEST_METHOD"] == "GET":
+            body = json.dumps({"filings": len(self.filings), "path": environ["PATH_INFO"]})
+            return http_server.respond(start_response, 200, body.encode(), _json())
+        return self._file(environ, start_response)
+
+    def _file(self, environ, start_response):
+        content = environ["wsgi.input"].read()
+        mode = self.next_modes.pop(0) if self.next_modes else "ordinary"
+        if mode == "refuse":
+            headers = [(engine_http.HEADER_OUTCOME, engine_http.OUTCOME_NOT_RUN), *_json()]
+            return http_server.respond(start_response, 503, b'{"error":"busy"}', headers)
+        if mode == "crash_before":
+            return self._crash()
+        self.clock.sleep(self.work_seconds)
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        filing = Filing(key, content, len(self.filings) + 1)
+        self.filings.append(filing)
+        if mode == "crash_after":
+            return self._crash()
+        if mode == "silent_after":
+            event.Event().wait()
+        status = 500 if mode == "error" else 200
+        body = json.dumps({"filing": filing.number}).encode()
+        return http_server.respond(start_response, status, body, _json())
+
+    def _crash(self):
+        for sock in list(self.server.open_sockets):
+            http_server.cut(sock)
+        return []
+
+
+def _json() -> list[tuple[str, str]]:
+    return [("Content-Type", "application/json")]
--- /dev/null
+++ b/bronzemux/table.py
@@ -0,0 +1,138 @@
+"""Table service: transactional rows with versions."""
+
+import dataclasses
+from collections.abc import Sequence
+
+import cbor2
+
+from bronzemux import errors, http_client
+
+ABSENT = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """A stored row.
+
+    Attributes:
+      key: Primary key.
+      version: Counts writes of the row from 1.
+      value: Content.
+    """
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """A conditional write.
+
+    Attributes:
+      key: Primary key.
+      expected: Version the row must have; `ABSENT` when it must not exist.
+      value: New content, or None to delete the row.
+    """
+
+    key: str
+    expected: int
+    value: bytes | None
+
+
+class TableService:
+    """Interface of the platform's table service."""
+
+    def read(self, keys: Sequence[str]) -> list[Row | None]:
+        """Return the rows of keys, None for each that does not exist.
+
+        Raises:
+          errors.PlatformUnavailableError: When the service gave no answer.
+        """
+        raise NotImplementedError
+
+    def scan(self, prefix: str, limit: int) -> list[Row]:
+        """Return up to `limit` rows whose key starts with a prefix, in key order.
+
+        Raises:
+          errors.PlatformUnavailableError: When the service gave no answer.
+        """
+        raise NotImplementedError
+
+    def transact(self, writes: Sequence[Write]) -> None:
+        """Apply all writes or none.
+
+        Raises:
+          errors.WriteConflictError: When versions differ; nothing was written.
+          errors.PlatformUnavailableError: When nothing was written.
+          errors.AmbiguousWriteError: When it is not known whether the writes took effect.
+        """
+        raise NotImplementedError
+
+
+class MemoryTable(TableService):
+    """Table service in memory."""
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+        self.reads = 0
+        self.transactions = 0
+
+    def read(self, keys: Sequence[str]) -> list[Row | None]:
+        """Return the rows of keys, None for each that does not exist."""
+        self.reads += 1
+        return [self.rows.get(key) for key in keys]
+
+    def scan(self, prefix: str, limit: int) -> list[Row]:
+        """Return up to `limit` rows whose key starts with a prefix, in key order."""
+        self.reads += 1
+        keys = sorted(key for key in self.rows if key.startswith(prefix))
+        return [self.rows[key] for key in keys[:limit]]
+
+    def transact(self, writes: Sequence[Write]) -> None:
+        """Apply all writes or none."""
+        self.transactions += 1
+        conflicts = [write.key for write in writes if self._version(write.key) != write.expected]
+        if conflicts:
+            raise errors.WriteConflictError(tuple(conflicts))
+        for write in writes:
+            if write.value is None:
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = Row(write.key, write.expected + 1, write.value)
+
+    def _version(self, key: str) -> int:
+        row = self.rows.get(key)
+        return row.version if row else ABSENT
+
+
+class HttpTable(TableService):
+    """Table service over HTTP with CBOR bodies.
+
+    Args:
+      settings: Address and timeout.
+    """
+
+    def __init__(self, settings: http_client.ServiceSettings):
+        self.client = http_client.ServiceClient(settings)
+
+    def read(self, keys: Sequence[str]) -> list[Row | None]:
+        """Return the rows of keys, None for each that does not exist."""
+        answer = self._call("read", list(keys), is_write=False)
+        return [Row(*item) if item else None for item in answer]
+
+    def scan(self, prefix: str, limit: int) -> list[Row]:
+        """Return up to `limit` rows whose key starts with a prefix, in key order."""
+        return [Row(*item) for item in self._call("scan", [prefix, limit], is_write=False)]
+
+    def transact(self, writes: Sequence[Write]) -> None:
+        """Apply all writes or none."""
+        body = [[write.key, write.expected, write.value] for write in writes]
+        conflicts = self._call("transact", body, is_write=True)
+        if conflicts:
+            raise errors.WriteConflictError(tuple(conflicts))
+
+    def _call(self, operation: str, body, is_write: bool):
+        path = f"/table/{operation}"
+        answer = self.client.exchange("POST", path, cbor2.dumps(body), is_write)
+        return cbor2.loads(answer.body)
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Contract tests."""
--- /dev/null
+++ b/features/callers.feature
@@ -0,0 +1,92 @@
+Feature: Callers' interface
+  The openai client package works with only its base URL and key changed.
+
+  Background:
+    Given a development deployment "centre"
+
+  Scenario Outline: A streamed chat completion through either router
+    When team "caseworkers" streams a chat through router <router>
+    Then the answer is one whole answer of 16 words
+
+    Examples:
+      | router |
+      | 1      |
+      | 2      |
+
+  Scenario: A completion that is not streamed
+    When team "caseworkers" asks for a completion that is not streamed
+    Then the answer is one whole answer of 16 words
+
+  Scenario: The second request with the same prompt reports reuse
+    When team "caseworkers" streams a chat through router 1
+    And team "caseworkers" streams a chat through router 1
+    Then the first answer reused 0 tokens
+    And the second answer reused most of the prompt
+
+  Scenario: A stream through the address that locate gave
+    When a caller in "tbilisi-2" asks which router to use
+    Then the first router named is in "tbilisi-2"
+    And a chat through the first router named gives a whole answer
+
+  Scenario: Another team's identical prompt reuses nothing
+    When team "caseworkers" streams a chat through router 1
+    And team "lawyers" streams a chat through router 1
+    Then the second answer reused 0 tokens
+
+  Scenario Outline: Bad input gets a typed error and takes no worker's time
+    When bad input arrives: <request>
+    Then the status is <status> and the error is "<kind>"
+    And the outcome is "not-run"
+    And no endpoint ran anything
+
+    Examples:
+      | request                       | status | kind                  |
+      | a wrong key                   | 401    | authentication_error  |
+      | no key                        | 401    | authentication_error  |
+      | another team's model          | 403    | permission_error      |
+      | an unknown model              | 403    | permission_error      |
+      | an unknown adapter            | 404    | not_found_error       |
+      | a broken body                 | 400    | invalid_request_error |
+      | a body that is a list         | 400    | invalid_request_error |
+      | no messages                   | 400    | invalid_request_error |
+      | a deeply nested body          | 400    | invalid_request_error |
+      | a lone surrogate              | 400    | invalid_request_error |
+      | a negative max_tokens         | 400    | invalid_request_error |
+      | a bad deadline header         | 400    | invalid_request_error |
+      | a body over the limit         | 413    | request_too_large     |
+      | an unknown path               | 404    | not_found_error       |
+      | a wrong method                | 405    | method_not_allowed    |
+      | an unknown service            | 403    | permission_error      |
+      | a filing without a key        | 400    | invalid_request_error |
+      | a filing with an unusable key | 400    | invalid_request_error |
+      | an unknown workload           | 403    | permission_error      |
+
+  Scenario: A caller that sends its body too slowly
+    Given routers wait 0.2 seconds for a body
+    When a caller sends half of its body and waits
+    Then the status is 408 and the error is "request_timeout"
+    And no endpoint ran anything
+
+  Scenario: A caller that sends its headers too slowly
+    Given routers wait 0.2 seconds for headers
+    When a caller sends half of its headers and waits
+    Then the connection is closed
+    And team "caseworkers" streams a chat through router 1
+    And the answer is one whole answer of 16 words
+
+  Scenario: A caller that leaves in mid-stream has its idempotent work cancelled
+    Given engines take 0.05 seconds a word
+    When a caller of team "caseworkers" leaves after the first part of 200
+    Then the endpoint stops before 200 words
+    And no request is counted as in flight
+
+  Scenario: Every accepted connection has Nagle's algorithm off
+    When a caller keeps a connection open
+    Then the router's end has TCP_NODELAY set
+    And the router's connections to endpoints have TCP_NODELAY set
+
+  Scenario: Operators' paths answer
+    Then GET "/healthz" answers 200
+    And GET "/readyz" answers 200
+    And GET "/metrics" answers 200
+    And GET "/status" answers 200
