Prove whole streams and at-most-once filings under single faults

Cause: the thin path had no failure tests. Found: a comment that stands alone between events, used to renew the resume token, is taken for an empty event by the openai client, which then fails to decode it. It now stands within the next event. A crash of a router in tests sent cancellations, which a lost VM cannot; it no longer does.

--- a/bronzemux/answers.py
+++ b/bronzemux/answers.py
@@ -24,6 +24,7 @@
 )
 
 STREAM_TYPE = "text/event-stream"
+TOKEN_COMMENT = ": resume-token "
 RESUME_HEADER = "X-Resume-Token"
 REPLAY_HEADER = ("X-Idempotent-Replay", "true")
 QUEUE_PARTS = 1024
@@ -245,11 +246,11 @@
                 now = clock.monotonic()
                 gap.observe(now - last)
                 last = now
-                if execution.origin is not origin:
-                    origin = execution.origin
-                    yield f": resume-token {self._token(origin)}\n\n".encode()
-                if self._is_wanted(part.data):
-                    yield engine_http.encode_event(part.number, part.data)
+                if not self._is_wanted(part.data):
+                    continue
+                event = engine_http.encode_event(part.number, part.data)
+                yield self._renewal(execution, origin) + event
+                origin = execution.origin
             self._record_run(execution)
         except errors.RequestError as error:
             self.record(error.status, error.outcome, broke_off=True)
@@ -261,6 +262,16 @@
             source.close()
             self.parts.status.in_flight -= 1
 
+    def _renewal(self, execution: forward.Execution, known: forward.Origin) -> bytes:
+        """Return a comment line with a new resume token when the answer moved, else nothing.
+
+        The line stands within the next event, because some clients take a comment that stands
+        alone for an empty event.
+        """
+        if execution.origin is known:
+            return b""
+        return f"{TOKEN_COMMENT}{self._token(execution.origin)}\n".encode()
+
     def _is_wanted(self, data: bytes) -> bool:
         return self.request.wants_usage or not completion.is_only_usage(data)
 
--- a/bronzemux/development.py
+++ b/bronzemux/development.py
@@ -124,6 +124,13 @@
         self.routers[position : position + 1] = [started]
         return started
 
+    def crash_router(self, position: int) -> None:
+        """End a router as a lost VM does: nothing more leaves it, no cancellation either."""
+        lost = self.routers[position]
+        for standin in lost.engines.engines.values():
+            standin.cancel = _ignore
+        lost.crash()
+
     def _publish_vms(self) -> None:
         for item in self.routers:
             address = f"127.0.0.1:{item.port}"
@@ -172,3 +179,7 @@
             if standin.is_up:
                 standin.crash()
         self.platform.stop()
+
+
+def _ignore(request_id: str) -> None:
+    """Stand for a message that a lost VM does not send."""
--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -239,6 +239,8 @@
             if error.outcome is errors.Outcome.NOT_RUN:
                 raise
             self.may_have_run = True
+            if isinstance(error, errors.EndpointProtocolError):
+                self.tools.meters.dropped_answers.inc()
             return self._resume(target, job.request_id, 0, assignment, error)
 
     def _resuming(self, target, stream, request_id, assignment) -> Iterator[engine.Part]:
--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -62,12 +62,22 @@
       poison: Text whose prompt crashes the engine; empty for none.
       dropped_events: Number of cache events still to lose.
       refuses: Whether new work is refused as not run.
+      skipped_parts: Number of parts still to lose on the way to a reader.
+      doubled_parts: Number of parts still to send twice.
+      crossed_answers: Number of answers still to send under another request's id.
+      crash_after_parts: Parts after which the engine crashes; 0 for never.
+      mute_after_parts: Parts after which open connections go silent; 0 for never.
     """
 
     slowness: float = 1.0
     poison: str = ""
     dropped_events: int = 0
     refuses: bool = False
+    skipped_parts: int = 0
+    doubled_parts: int = 0
+    crossed_answers: int = 0
+    crash_after_parts: int = 0
+    mute_after_parts: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -378,9 +388,13 @@
         return json.dumps(chunk | fields, ensure_ascii=False).encode()
 
     def _answer(self, environ, start_response, work: Work, offset: int):
+        request_id = work.request_id
+        if self.faults.crossed_answers > 0:
+            self.faults.crossed_answers -= 1
+            request_id = "crossed"
         headers = [
             ("Content-Type", "text/event-stream"),
-            (engine_http.HEADER_REQUEST, work.request_id),
+            (engine_http.HEADER_REQUEST, request_id),
             (engine_http.HEADER_INCARNATION, self.incarnation),
         ]
         start_response("200 OK", headers)
@@ -388,9 +402,28 @@
 
     def _events(self, environ, work: Work, offset: int) -> Iterator[bytes]:
         peer = (environ["REMOTE_ADDR"], int(environ["REMOTE_PORT"]))
-        for chunk in work.read(offset):
+        for number, chunk in enumerate(work.read(offset), offset):
+            self._fail_after(number)
             if self._is_muted(peer):
                 event.Event().wait()
+            yield from self._disturb(number, chunk)
+
+    def _fail_after(self, number: int) -> None:
+        if self.faults.crash_after_parts and number >= self.faults.crash_after_parts:
+            self.faults.crash_after_parts = 0
+            self.crash()
+        if self.faults.mute_after_parts and number >= self.faults.mute_after_parts:
+            self.faults.mute_after_parts = 0
+            self.mute_open_connections()
+
+    def _disturb(self, number: int, chunk: bytes) -> Iterator[bytes]:
+        """Iterate over what reaches the reader of one part."""
+        if number > 0 and self.faults.skipped_parts > 0:
+            self.faults.skipped_parts -= 1
+            return
+        yield chunk
+        if self.faults.doubled_parts > 0:
+            self.faults.doubled_parts -= 1
             yield chunk
 
     def _is_muted(self, peer) -> bool:
--- /dev/null
+++ b/features/steps/streams_steps.py
@@ -0,0 +1,183 @@
+"""Steps of streams.feature."""
+
+import gevent
+from behave import given, then, when
+
+from bronzemux import engine_http, http_client, standin_engine
+from features import support
+from features.steps import callers_steps
+
+READ_ON_SECONDS = 10.0
+
+
+def engines(context) -> list[standin_engine.StandinEngine]:
+    """Return all engines."""
+    return list(context.deployment.engines.values())
+
+
+def first_to_reach(context, fault, value) -> None:
+    """Put a fault in force at all engines; the first that meets it takes it away elsewhere."""
+    for engine in engines(context):
+        setattr(engine.faults, fault, value)
+
+
+def clear_elsewhere(context) -> None:
+    """Leave the faults only at the engine that runs something."""
+    while not any(engine.executions for engine in engines(context)):
+        gevent.sleep(0.0005)
+    for engine in engines(context):
+        if not engine.executions:
+            engine.faults = standin_engine.Faults()
+
+
+def restart_when_down(context) -> None:
+    """Bring the engine that crashed back at once."""
+    while all(engine.is_up for engine in engines(context)):
+        gevent.sleep(0.0005)
+    next(engine for engine in engines(context) if not engine.is_up).restart()
+
+
+FAULTS = {
+    "crash after 5 parts": [("crash_after_parts", 5)],
+    "crash after 15 parts": [("crash_after_parts", 15)],
+    "go silent after 5 parts": [("mute_after_parts", 5)],
+    "lose a part": [("skipped_parts", 1)],
+    "send a part twice": [("doubled_parts", 1)],
+    "answer under another request": [("crossed_answers", 1)],
+    "crash and return after 5 parts": [("crash_after_parts", 5)],
+    "go silent, then crash, in a row": [("mute_after_parts", 4), ("crash_after_parts", 8)],
+    "lose a part, then go silent": [("skipped_parts", 1), ("mute_after_parts", 8)],
+}
+
+
+@given("the engine that runs a stream will {fault}")
+def step_fault(context, fault):
+    for name, value in FAULTS[fault]:
+        first_to_reach(context, name, value)
+    gevent.spawn(clear_elsewhere, context)
+    if "return" in fault:
+        gevent.spawn(restart_when_down, context)
+
+
+@then("the number of executions is {count:d}")
+def step_executions(context, count):
+    assert len(context.deployment.executions()) == count, context.deployment.executions()
+
+
+@then("router {number:d} counted {counter} {count:d} times")
+def step_counted(context, number, counter, count):
+    meters = context.deployment.routers[number - 1].meters
+    value = getattr(meters, counter)._value.get()
+    assert value == count, f"{counter} is {value}"
+
+
+@given("every engine refuses new work")
+def step_refuse(context):
+    for engine in engines(context):
+        engine.faults.refuses = True
+
+
+@given("every engine has crashed")
+def step_crashed(context):
+    for engine in engines(context):
+        engine.crash()
+    wait_for(lambda: not any(is_available(context, engine) for engine in engines(context)))
+
+
+def is_available(context, engine) -> bool:
+    """Return whether router 1 holds an engine for available."""
+    owner = context.deployment.routers[0]
+    state = owner.dispatcher.fleet.states[engine.settings.name]
+    return owner.dispatcher.fleet.is_available(state, owner.clock.monotonic())
+
+
+def wait_for(condition, seconds: float = 5.0) -> None:
+    """Wait until a condition holds."""
+    with gevent.Timeout(seconds):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+@when('a caller of team "{team}" reads {count:d} parts through router {number:d}')
+def step_read_some(context, team, count, number):
+    connection = callers_steps.dial(context)
+    body = callers_steps.chat(stream=True, max_tokens=40)
+    headers = {"Authorization": f"Bearer {context.deployment.key(team)}"}
+    connection.send("POST", callers_steps.CHAT, headers, body)
+    response = connection.receive("POST")
+    context.token = response.get("X-Resume-Token")
+    context.parts = []
+    for event in http_client.events(iter(connection.read, b"")):
+        context.parts.append(engine_http.decode_event(event))
+        if len(context.parts) == count:
+            return
+
+
+@when("router {number:d} crashes")
+def step_router_crashes(context, number):
+    context.deployment.crash_router(number - 1)
+
+
+def read_on(context, team: str, token: str | None, position: int = 1):
+    """Ask a router for the rest of a stream."""
+    headers = {"Last-Event-ID": str(context.parts[-1].number)}
+    if token is not None:
+        headers["X-Resume-Token"] = token
+    address = support.router_address(context.deployment, position)
+    key = context.deployment.key(team)
+    return support.send(address, "GET", "/v1/resume", key, b"", headers)
+
+
+@when("the caller reads on through router {number:d} with its resume token")
+def step_read_on(context, number):
+    reply = read_on(context, "caseworkers", context.token, number - 1)
+    assert reply.status == 200, reply
+    events = http_client.events(iter([reply.body]))
+    context.parts += [engine_http.decode_event(event) for event in events]
+
+
+@then("the parts are whole and in order, with {count:d} words")
+def step_parts(context, count):
+    from bronzemux import completion
+
+    numbers = [part.number for part in context.parts]
+    assert numbers == sorted(set(numbers)), numbers
+    text = completion.joined_text(part.data for part in context.parts)
+    assert standin_engine.is_whole_answer(text, count), text
+
+
+@when("{team} reads on with the token {form}")
+def step_wrong_token(context, team, form):
+    swapped = "A" if context.token[30] != "A" else "B"
+    forms = {
+        "unchanged": context.token,
+        "forged": context.token[:30] + swapped + context.token[31:],
+        "garbled": "%%%",
+        "missing": None,
+    }
+    context.reply = read_on(context, team, forms[form])
+
+
+@given('engines crash on the text "{text}"')
+def step_poison(context, text):
+    context.poison = text
+    for engine in engines(context):
+        engine.faults.poison = text
+
+
+@when('team "{team}" sends the poison text')
+def step_send_poison(context, team):
+    address = support.router_address(context.deployment)
+    body = callers_steps.chat(messages=[{"role": "user", "content": context.poison}])
+    key = context.deployment.key(team)
+    context.reply = support.send(address, "POST", callers_steps.CHAT, key, body)
+
+
+@then("at most {count:d} engines have crashed")
+def step_crash_count(context, count):
+    assert sum(not engine.is_up for engine in engines(context)) <= count
+
+
+@then('the reply\'s error is "{kind}"')
+def step_reply_error(context, kind):
+    assert context.reply.json()["error"]["type"] == kind, context.reply
