Add the operators' command line, configuration checks and settings tests

Cause: operators had no way to see or change the configuration. Change: bronzemux-ctl over a thin porcelain layer, changes by compare-and-set through a router with an operator key and role, or directly at the table service; edits keep comments (tomlkit). Found: flags of a program started with python -m did not take environment variables, because absl files them under another module name; environment variables now apply to all flags by name.

--- /dev/null
+++ b/bronzemux/cli_ctl.py
@@ -0,0 +1,224 @@
+"""Command bronzemux-ctl: the operators' command line."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import getpass
+import json
+import pathlib
+import sys
+import time
+
+from absl import flags
+
+from bronzemux import (
+    clock,
+    config,
+    config_edit,
+    config_store,
+    errors,
+    http_client,
+    operator,
+    porcelain,
+    settings,
+    table,
+)
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("router", "http://127.0.0.1:8080", "Address of a router.")
+flags.DEFINE_string("operator_key", "", "Key of the operator; changes go through the router.")
+flags.DEFINE_string("operator", getpass.getuser(), "Name of the operator in the audit trail.")
+flags.DEFINE_string("platform", "", "IP-number:port of the table service, to change it directly.")
+flags.DEFINE_enum("output", "text", ["text", "json"], "Form of the output.")
+flags.DEFINE_boolean("yes", False, "Do not ask before dangerous changes.")
+flags.DEFINE_boolean("watch", False, "Repeat `status` until interrupted.")
+flags.DEFINE_float("interval", 2.0, "Seconds between repeats of --watch.", lower_bound=0.1)
+flags.DEFINE_string("expect", None, "Version or preset that must be in force.")
+flags.DEFINE_list("models", [], "Models of a new team.")
+flags.DEFINE_list("services", [], "Services of a new team.")
+flags.DEFINE_float("requests_per_second", 100.0, "Limit of a team.", lower_bound=0.001)
+flags.DEFINE_float("tokens_per_second", 1e6, "Limit of a team.", lower_bound=1.0)
+flags.DEFINE_integer("concurrency", 128, "Limit of a team.", lower_bound=1)
+
+EXIT_FAILED = 1
+EXIT_CONFLICT = 3
+EXIT_OUT_OF_REACH = 4
+USAGE = """\
+usage: bronzemux-ctl [flags] COMMAND
+  config check FILE | apply FILE | show | history | diff OLD NEW | rollback VERSION
+  preset list | use NAME
+  endpoint list | drain NAME | undrain NAME
+  vm drain NAME | undrain NAME
+  team add NAME | rotate-key NAME | limits NAME
+  members | status | key digest KEY
+see --help for flags and docs/OPERATING.md for examples
+"""
+
+
+def main() -> None:
+    """Carry out one command and exit with its status."""
+    words = settings.parse(sys.argv)
+    command, arguments = find_command(words)
+    try:
+        run(command, arguments)
+    except errors.ConfigError as error:
+        lines = [f"  {problem}" for problem in error.exceptions]
+        settings.fail("\n".join([error.message, *lines]), EXIT_FAILED)
+    except errors.ConfigConflictError as error:
+        settings.fail(str(error), EXIT_CONFLICT)
+    except (errors.PlatformError, errors.EndpointError) as error:
+        settings.fail(str(error), EXIT_OUT_OF_REACH)
+    except (errors.BronzemuxError, OSError) as error:
+        settings.fail(str(error), EXIT_FAILED)
+
+
+def run(command, arguments: list[str]) -> None:
+    """Print the result of a command, again and again with --watch."""
+    while True:
+        result = command(*arguments)
+        is_json = FLAGS.output == "json"
+        print(json.dumps(result.data, indent=2) if is_json else result.text, flush=True)
+        if not FLAGS.watch:
+            return
+        time.sleep(FLAGS.interval)
+
+
+def find_command(words: list[str]):
+    """Return the function of a command and its arguments; exit with 2 when there is none."""
+    for length in (2, 1):
+        name = " ".join(words[:length])
+        if name in COMMANDS:
+            function, count = COMMANDS[name]
+            if len(words) - length == count:
+                return function, words[length:]
+    print(USAGE, file=sys.stderr)
+    settings.fail(f"no command {' '.join(words)!r} with these arguments")
+
+
+def access() -> config_store.ConfigAccess:
+    """Return the accepted configurations, through a router or the table service."""
+    if not FLAGS.platform:
+        return operator.RouterAccess(FLAGS.router, FLAGS.operator_key)
+    host, _, port = FLAGS.platform.rpartition(":")
+    if not host or not port.isdigit():
+        raise errors.SettingError(f"--platform={FLAGS.platform!r}", "give IP-number:port")
+    service = table.HttpTable(http_client.ServiceSettings(host, int(port)))
+    return config_store.ConfigStore(service, clock.SystemClock())
+
+
+def confirm(question: str) -> None:
+    """Ask before a dangerous change, unless --yes is given."""
+    if FLAGS.yes:
+        return
+    if not sys.stdin.isatty():
+        raise errors.SettingError(f"{question}: not confirmed", "give --yes")
+    if input(f"{question}? [y/N] ").strip().lower() != "y":
+        raise errors.SettingError("not confirmed", "answer y or give --yes")
+
+
+def expected_version() -> int | None:
+    """Return the version that --expect names."""
+    if FLAGS.expect is None:
+        return None
+    if not FLAGS.expect.isdigit():
+        raise errors.SettingError(f"--expect={FLAGS.expect!r}", "give a version number")
+    return int(FLAGS.expect)
+
+
+def number(word: str) -> int:
+    """Return a version that was given as a word."""
+    if not word.isdigit():
+        raise errors.SettingError(f"version {word!r} is not a number", "see `config history`")
+    return int(word)
+
+
+def read(path: str) -> str:
+    """Return the text of a file."""
+    return pathlib.Path(path).read_text(encoding="utf-8")
+
+
+def edit(function: config_edit.Edit, summary: str) -> porcelain.Result:
+    """Accept an edit of the document in force."""
+    return porcelain.edit_config(access(), function, FLAGS.operator, summary)
+
+
+def apply(path: str) -> porcelain.Result:
+    """Accept a whole document."""
+    text = read(path)
+    config.loads(text)
+    confirm("replace the whole configuration")
+    return porcelain.apply_config(access(), text, expected_version(), FLAGS.operator)
+
+
+def rollback(version: str) -> porcelain.Result:
+    """Accept an earlier document again."""
+    confirm(f"roll back to version {version}")
+    return porcelain.rollback_config(access(), number(version), FLAGS.operator)
+
+
+def use_preset(name: str) -> porcelain.Result:
+    """Put a preset in force."""
+    return porcelain.use_preset(access(), name, FLAGS.expect, FLAGS.operator)
+
+
+def drain(field: str, is_drained: bool):
+    """Return the command that takes something out of service or back."""
+    verb = "drained" if is_drained else "undrained"
+
+    def command(name: str) -> porcelain.Result:
+        if is_drained:
+            confirm(f"give {name} no new work")
+        return edit(config_edit.drain(field, name, is_drained), f"{name} {verb}")
+
+    return command
+
+
+def limits(team: str) -> porcelain.Result:
+    """Set a team's limits."""
+    wanted = config.Limits(FLAGS.requests_per_second, FLAGS.tokens_per_second, FLAGS.concurrency)
+    return edit(config_edit.set_limits(team, wanted), f"limits of team {team}")
+
+
+def add_team(name: str) -> porcelain.Result:
+    """Add a team."""
+    return porcelain.add_team(access(), name, FLAGS.models, FLAGS.services, FLAGS.operator)
+
+
+def rotate_key(team: str) -> porcelain.Result:
+    """Give a team a new key."""
+    confirm(f"end all but the newest key of team {team}")
+    return porcelain.rotate_key(access(), team, FLAGS.operator)
+
+
+def digest(key: str) -> porcelain.Result:
+    """Return the digest of a key."""
+    value = config.digest_key(key)
+    return porcelain.Result(value, {"digest": value})
+
+
+COMMANDS = {
+    "config check": (lambda path: porcelain.check_config(read(path)), 1),
+    "config apply": (apply, 1),
+    "config show": (lambda: porcelain.show_config(access()), 0),
+    "config history": (lambda: porcelain.config_history(access()), 0),
+    "config diff": (lambda a, b: porcelain.diff_config(access(), number(a), number(b)), 2),
+    "config rollback": (rollback, 1),
+    "preset list": (lambda: porcelain.list_presets(access()), 0),
+    "preset use": (use_preset, 1),
+    "endpoint list": (lambda: porcelain.list_endpoints(FLAGS.router), 0),
+    "endpoint drain": (drain("drained_endpoints", True), 1),
+    "endpoint undrain": (drain("drained_endpoints", False), 1),
+    "vm drain": (drain("drained_vms", True), 1),
+    "vm undrain": (drain("drained_vms", False), 1),
+    "team add": (add_team, 1),
+    "team rotate-key": (rotate_key, 1),
+    "team limits": (limits, 1),
+    "members": (lambda: porcelain.list_members(FLAGS.router), 0),
+    "status": (lambda: porcelain.all_status(FLAGS.router), 0),
+    "key digest": (digest, 1),
+}
+
+
+if __name__ == "__main__":
+    main()
--- a/bronzemux/cli_dev.py
+++ b/bronzemux/cli_dev.py
@@ -42,7 +42,7 @@
 
 def main() -> None:
     """Run a deployment until interrupted."""
-    settings.parse(sys.argv, __name__)
+    settings.parse(sys.argv)
     logs.start(FLAGS.log_level)
     path = pathlib.Path(FLAGS.examples) / f"{FLAGS.deployment}.toml"
     try:
--- a/bronzemux/cli_router.py
+++ b/bronzemux/cli_router.py
@@ -40,7 +40,7 @@
 
 def main() -> None:
     """Serve until SIGTERM or SIGINT; a second signal ends at once."""
-    settings.parse(sys.argv, __name__)
+    settings.parse(sys.argv)
     logs.start(FLAGS.log_level)
     stopped = gevent.event.Event()
     served = router.Router(router_settings(), clock.SystemClock())
--- a/bronzemux/config.py
+++ b/bronzemux/config.py
@@ -15,6 +15,7 @@
 BYTES_PER_TOKEN = 4
 PRESET_NAMES = ("ordinary", "peak", "maintenance")
 ENDPOINT_KINDS = ("model", "service")
+ROLES = ("viewer", "operator", "administrator")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,6 +140,23 @@
     drained_endpoints: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class Operator:
+    """A person who may change the configuration."""
+
+    name: str
+    key_digests: tuple[str, ...]
+    role: str = "viewer"
+
+
+@dataclasses.dataclass(frozen=True)
+class Operations:
+    """What operators took out of service, whatever the preset."""
+
+    drained_endpoints: tuple[str, ...] = ()
+    drained_vms: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class Config:
     """A whole configuration document."""
@@ -151,6 +169,8 @@
     endpoints: tuple[Endpoint, ...]
     services: tuple[Service, ...] = ()
     workloads: tuple[Workload, ...] = ()
+    operators: tuple[Operator, ...] = ()
+    operations: Operations = Operations()
 
 
 def digest_key(key: str) -> str:
@@ -248,7 +268,7 @@
 
 def check_names(config: Config) -> Iterator[errors.ConfigProblemError]:
     """Check that names within each list are unique and not empty."""
-    for field in ("teams", "models", "endpoints", "services", "workloads", "presets"):
+    for field in ("teams", "models", "endpoints", "services", "workloads", "presets", "operators"):
         seen = set()
         for position, item in enumerate(getattr(config, field)):
             path = f"{field}[{position}].name"
@@ -353,6 +373,19 @@
             )
 
 
+def check_operators(config: Config) -> Iterator[errors.ConfigProblemError]:
+    """Check roles and keys of operators and what they took out of service."""
+    for position, operator in enumerate(config.operators):
+        path = f"operators[{position}]"
+        yield from _known(f"{path}.role", (operator.role,), ROLES)
+        for index, digest in enumerate(operator.key_digests):
+            yield from _key_digest(f"{path}.key_digests[{index}]", digest)
+    endpoints = [endpoint.name for endpoint in config.endpoints]
+    yield from _known(
+        "operations.drained_endpoints", config.operations.drained_endpoints, endpoints
+    )
+
+
 CHECKS: tuple[Callable[[Config], Iterator[errors.ConfigProblemError]], ...] = (
     check_names,
     check_presets,
@@ -360,6 +393,7 @@
     check_models,
     check_endpoints,
     check_workloads,
+    check_operators,
 )
 
 
--- /dev/null
+++ b/bronzemux/config_edit.py
@@ -0,0 +1,108 @@
+"""Edits of configuration documents that keep comments and order, through tomlkit."""
+
+import difflib
+from collections.abc import Callable, Sequence
+
+import tomlkit
+
+from bronzemux import config, errors
+
+Edit = Callable[[tomlkit.TOMLDocument], None]
+
+
+def edit(text: str, function: Edit) -> str:
+    """Return a document after an edit.
+
+    Args:
+      text: TOML document.
+      function: Changes the parsed document.
+    """
+    document = tomlkit.parse(text)
+    function(document)
+    return tomlkit.dumps(document)
+
+
+def use_preset(name: str) -> Edit:
+    """Return the edit that puts a preset in force."""
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        document["preset"] = name
+
+    return change
+
+
+def drain(field: str, name: str, is_drained: bool) -> Edit:
+    """Return the edit that takes something out of service or back.
+
+    Args:
+      field: Field of `config.Operations`.
+      name: Name of the endpoint or VM.
+      is_drained: Whether it gets no new work.
+    """
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        operations = document.setdefault("operations", tomlkit.table())
+        names = [item for item in operations.get(field, []) if item != name]
+        operations[field] = [*names, name] if is_drained else names
+
+    return change
+
+
+def add_team(name: str, digest: str, models: Sequence[str], services: Sequence[str]) -> Edit:
+    """Return the edit that adds a team with one key."""
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        if any(team["name"] == name for team in document["teams"]):
+            raise errors.ConfigConflictError(f"team {name!r} exists", "choose another name")
+        team = tomlkit.table()
+        team["name"] = name
+        team["key_digests"] = [digest]
+        team["models"] = list(models)
+        team["services"] = list(services)
+        document["teams"].append(team)
+
+    return change
+
+
+def rotate_key(team: str, digest: str, keep: int) -> Edit:
+    """Return the edit that adds a key to a team and keeps the newest old ones.
+
+    Args:
+      team: Name of the team.
+      digest: Digest of the new key.
+      keep: Number of earlier keys that stay valid.
+    """
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        entry = _item(document, "teams", team)
+        entry["key_digests"] = [digest, *list(entry["key_digests"])[:keep]]
+
+    return change
+
+
+def set_limits(team: str, limits: config.Limits) -> Edit:
+    """Return the edit that sets a team's limits."""
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        _item(document, "teams", team)["limits"] = {
+            "requests_per_second": limits.requests_per_second,
+            "tokens_per_second": limits.tokens_per_second,
+            "concurrency": limits.concurrency,
+        }
+
+    return change
+
+
+def difference(old: str, new: str, names: tuple[str, str]) -> str:
+    """Return the unified difference of two documents."""
+    lines = difflib.unified_diff(
+        old.splitlines(keepends=True), new.splitlines(keepends=True), names[0], names[1]
+    )
+    return "".join(lines)
+
+
+def _item(document: tomlkit.TOMLDocument, field: str, name: str):
+    for entry in document.get(field, []):
+        if entry["name"] == name:
+            return entry
+    raise errors.NotFoundError(f"no entry {name!r} in {field}", "list them with `config show`")
--- a/bronzemux/config_store.py
+++ b/bronzemux/config_store.py
@@ -23,7 +23,6 @@
     Attributes:
       version: Counts accepted changes from 1.
       text: The TOML document.
-      preset: Preset in force; it goes before the one in the document.
       change_id: Identity of the change, for repeats after a lost answer.
       operator: Who made the change.
       at: UTC time of the change, ISO 8601.
@@ -32,19 +31,18 @@
 
     version: int
     text: str
-    preset: str
     change_id: str
     operator: str
     at: str
     summary: str
 
     def document(self) -> config.Config:
-        """Return the decoded configuration with the preset in force.
+        """Return the decoded configuration.
 
         Raises:
           errors.ConfigError: When the document has mistakes.
         """
-        return dataclasses.replace(config.loads(self.text), preset=self.preset)
+        return config.loads(self.text)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,7 +52,6 @@
     Attributes:
       expected: Version that the operator saw; 0 for the first configuration.
       text: The new document.
-      preset: The new preset; empty takes the document's.
       operator: Who asks.
       summary: What is changed.
       change_id: Identity, the same one with each repeat.
@@ -64,7 +61,6 @@
     text: str
     operator: str
     summary: str
-    preset: str = ""
     change_id: str = dataclasses.field(default_factory=lambda: uuid.uuid4().hex)
 
 
@@ -78,8 +74,47 @@
     return Head(*cbor2.loads(content))
 
 
-class ConfigStore:
-    """Reads and changes the configuration head.
+class ConfigAccess:
+    """Interface to the accepted configurations."""
+
+    def read(self) -> Head | None:
+        """Return the head, None before the first configuration.
+
+        Raises:
+          errors.BronzemuxError: When it cannot be read.
+        """
+        raise NotImplementedError
+
+    def history(self, limit: int = MAX_HISTORY) -> list[Head]:
+        """Return accepted configurations, the newest first.
+
+        Raises:
+          errors.BronzemuxError: When they cannot be read.
+        """
+        raise NotImplementedError
+
+    def version(self, number: int) -> Head:
+        """Return an accepted configuration by its version.
+
+        Raises:
+          errors.NotFoundError: When there is none.
+          errors.BronzemuxError: When it cannot be read.
+        """
+        raise NotImplementedError
+
+    def apply(self, change: Change) -> Head:
+        """Accept a change; a repeat of an accepted change returns what it did.
+
+        Raises:
+          errors.ConfigError: When the document has mistakes.
+          errors.ConfigConflictError: When another change came first.
+          errors.BronzemuxError: When it is out of reach.
+        """
+        raise NotImplementedError
+
+
+class ConfigStore(ConfigAccess):
+    """Configuration head in the table service.
 
     Args:
       service: Table service.
@@ -149,11 +184,9 @@
         raise last
 
     def _head(self, change: Change) -> Head:
-        preset = change.preset or config.loads(change.text).preset
         return Head(
             version=change.expected + 1,
             text=change.text,
-            preset=preset,
             change_id=change.change_id,
             operator=change.operator,
             at=self.clock.now().astimezone(datetime.UTC).isoformat(timespec="seconds"),
--- a/bronzemux/context.py
+++ b/bronzemux/context.py
@@ -2,7 +2,17 @@
 
 import dataclasses
 
-from bronzemux import claims, dispatcher, engine, errors, locate, metrics, settings, vms
+from bronzemux import (
+    claims,
+    config_store,
+    dispatcher,
+    engine,
+    errors,
+    locate,
+    metrics,
+    settings,
+    vms,
+)
 from bronzemux import clock as clocks
 from bronzemux import snapshot as snapshots
 
@@ -36,6 +46,7 @@
       meters: Metrics.
       status: State of the router.
       dispatcher: Task that assigns endpoints.
+      config_store: Accepted configurations.
       claims: Claims of non-idempotent requests.
       engine_of: Returns the engine at an endpoint.
       members: Returns the routers that the membership knows.
@@ -46,6 +57,7 @@
     meters: metrics.Metrics
     status: Status
     dispatcher: dispatcher.Dispatcher
+    config_store: config_store.ConfigStore
     claims: claims.Claims
     engine_of: "EngineFactory"
     members: "MembersSource"
@@ -71,6 +83,8 @@
     def routers(self) -> list[locate.RouterAddress]:
         """Return the routers that take new callers."""
         away = self.status.dead_routers
+        if self.status.snapshot is not None:
+            away |= set(self.status.snapshot.config.operations.drained_vms)
         if self.status.is_draining:
             away |= {self.settings.name}
         return locate.candidates(self.status.listed, away)
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -72,6 +72,7 @@
         self.data_centre = data_centre
         self.states: dict[str, EndpointState] = {}
         self.preset: config.Preset | None = None
+        self.operations = config.Operations()
         self.names: tuple[str, ...] = ()
         self.seeds = np.array([], dtype=np.uint64)
 
@@ -86,6 +87,7 @@
           Names of endpoints that are gone.
         """
         self.preset = preset
+        self.operations = snapshot.operations
         wanted = {endpoint.name: endpoint for endpoint in snapshot.endpoints}
         gone = tuple(name for name in self.states if name not in wanted)
         for name in gone:
@@ -105,11 +107,12 @@
             state.endpoint = endpoint
 
     def is_drained(self, state: EndpointState) -> bool:
-        """Return whether an endpoint gets no new work by preset or by notice."""
+        """Return whether an endpoint gets no new work by preset, operator or notice."""
         endpoint = state.endpoint
         by_preset = endpoint.name in self.preset.drained_endpoints
         by_data_centre = endpoint.data_centre in self.preset.drained_data_centres
-        return state.leaving or by_preset or by_data_centre
+        by_operator = endpoint.name in self.operations.drained_endpoints
+        return state.leaving or by_preset or by_data_centre or by_operator
 
     def is_available(self, state: EndpointState, now: float) -> bool:
         """Return whether an endpoint may get new work."""
--- a/bronzemux/locate.py
+++ b/bronzemux/locate.py
@@ -53,7 +53,7 @@
         is_drained = router.data_centre in avoid
         return is_drained, router.data_centre != data_centre, digest
 
-    return sorted(routers, key=rank)[:MAX_ADDRESSES]
+    return sorted(routers, key=rank)
 
 
 def encode(routers: list[RouterAddress]) -> bytes:
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -110,6 +110,7 @@
             meters=self.meters,
             status=self.status,
             dispatcher=self.dispatcher,
+            config_store=store,
             claims=self.claims,
             engine_of=self.engines,
             members=lambda: [],
--- a/bronzemux/settings.py
+++ b/bronzemux/settings.py
@@ -53,17 +53,16 @@
     return ENVIRONMENT_PREFIX + flag.upper()
 
 
-def load_environment(values: flags.FlagValues, module: str) -> None:
-    """Set the flags of a module that were not given from environment variables.
+def load_environment(values: flags.FlagValues) -> None:
+    """Set the flags that were not given from environment variables.
 
     Args:
       values: Parsed flags.
-      module: Name of the module that defines the flags.
 
     Raises:
       errors.SettingError: Names the variable, its value and the remedy.
     """
-    for flag in values.flags_by_module_dict().get(module, []):
+    for flag in {id(values[name]): values[name] for name in values}.values():
         name = environment_name(flag.name)
         if name not in os.environ or flag.present:
             continue
@@ -77,19 +76,18 @@
             ) from error
 
 
-def parse(arguments: list[str], module: str) -> list[str]:
+def parse(arguments: list[str]) -> list[str]:
     """Parse flags and environment variables; print the mistake and exit with 2 on one.
 
     Args:
       arguments: Command line with the program's name.
-      module: Name of the module that defines the flags.
 
     Returns:
       Arguments that are not flags, without the program's name.
     """
     try:
         rest = flags.FLAGS(arguments)[1:]
-        load_environment(flags.FLAGS, module)
+        load_environment(flags.FLAGS)
         flags.FLAGS.validate_all_flags()
         return rest
     except (flags.Error, errors.SettingError) as error:
--- a/bronzemux/snapshot.py
+++ b/bronzemux/snapshot.py
@@ -52,6 +52,24 @@
             )
         return found
 
+    def authenticate_operator(self, key: str) -> config.Operator:
+        """Return the operator of a key.
+
+        Raises:
+          errors.AuthenticationFailedError: When no operator has this key.
+        """
+        digest = config.digest_key(key)
+        found = None
+        for operator in self.config.operators:
+            for candidate in operator.key_digests:
+                if hmac.compare_digest(candidate, digest):
+                    found = operator
+        if found is None:
+            raise errors.AuthenticationFailedError(
+                "the operator key is not known", "give a valid key with --operator_key"
+            )
+        return found
+
     def model_workload(self, team: config.Team, model: str, name: str) -> config.Workload:
         """Return the workload of a model request.
 
--- a/bronzemux/watcher.py
+++ b/bronzemux/watcher.py
@@ -138,7 +138,7 @@
         self.head = head
         self.publish(snapshot)
         self.meters.config_version.set(head.version)
-        logs.event("config_in_force", version=head.version, preset=head.preset)
+        logs.event("config_in_force", version=head.version, preset=snapshot.preset.name)
         return True
 
     @property
--- a/bronzemux/web.py
+++ b/bronzemux/web.py
@@ -16,6 +16,7 @@
     locate,
     logs,
     messages,
+    operator,
     prompt,
     requests,
     resume,
@@ -71,6 +72,8 @@
             return self._service
         if call.path.startswith(REQUESTS_PREFIX):
             return self._request
+        if call.path.startswith(operator.PREFIX):
+            return self._operator
         if call.path not in self.routes:
             raise errors.NotFoundError(f"no path {call.path!r}", "see the README for the interface")
         method, function = self.routes[call.path]
@@ -100,6 +103,9 @@
 
     # Questions
 
+    def _operator(self, call: "Call"):
+        return operator.respond(self.parts, self.parts.config_store, call)
+
     def _request(self, call: "Call"):
         team = call.arrival().team
         key = urllib.parse.unquote(call.path.removeprefix(REQUESTS_PREFIX))
@@ -125,7 +131,8 @@
         avoid = frozenset(snapshot.preset.drained_data_centres) if snapshot else frozenset()
         caller = call.query.get("caller", call.environ.get("REMOTE_ADDR", ""))
         data_centre = call.query.get("data_centre", self.parts.settings.data_centre)
-        found = locate.order(self.parts.routers(), caller, data_centre, avoid)
+        limit = None if call.query.get("all") == "true" else locate.MAX_ADDRESSES
+        found = locate.order(self.parts.routers(), caller, data_centre, avoid)[:limit]
         if not found:
             raise errors.UnavailableError("no router takes new callers", "ask again", 1.0)
         return call.answer_bytes(200, locate.encode(found), [JSON_TYPE])
--- /dev/null
+++ b/features/config.feature
@@ -0,0 +1,51 @@
+Feature: Configuration document
+  Every mistake of a document is reported at once, with its path and the remedy.
+
+  Scenario Outline: The shipped examples are good
+    Given the example "<name>"
+    Then the document is accepted with <workers> model workers and <teams> teams
+
+    Examples:
+      | name   | workers | teams |
+      | centre | 5       | 8     |
+      | plinth | 9       | 8     |
+
+  Scenario Outline: One mistake
+    Given example "centre" with "<old>" replaced by "<new>"
+    Then the only problem is at "<path>"
+
+    Examples:
+      | old                           | new                          | path                         |
+      | weight = 4.0                  | weight = -1.0                | teams[0].weight              |
+      | weight = 4.0                  | weight = "4"                 | teams[0].weight              |
+      | weight = 4.0                  | wieght = 4.0                 | teams[0]                     |
+      | preset = "ordinary"           | preset = "holiday"           | preset                       |
+      | name = "peak"                 | name = "busy"                | presets                      |
+      | kind = "service"              | kind = "servant"             | endpoints[5].kind            |
+      | address = "127.0.0.1:7101"    | address = "127.0.0.1"        | endpoints[0].address         |
+      | address = "127.0.0.1:7101"    | address = "127.0.0.1:7102"   | endpoints[1].address         |
+      | slots = 16                    | slots = 0                    | endpoints[0].slots           |
+      | weights_version = "2026-11"   | weights_version = ""         | models[0].weights_version    |
+      | role = "viewer"               | role = "visitor"             | operators[2].role            |
+      | drained_endpoints = []        | drained_endpoints = ["none"] | operations.drained_endpoints |
+      | availability = 0.9999         | availability = 99.99         | workloads[4].objective.availability |
+      | name = "lawyers"              | name = "caseworkers"         | teams[1].name                |
+      | [deployment]                  | [deployment                  | document                     |
+
+  Scenario: Several mistakes at once
+    Given example "centre" with "weight = 4.0" replaced by "weight = 0.0"
+    And in it "slots = 16" replaced by "slots = -1"
+    And in it "role = "viewer"" replaced by "role = "none""
+    Then the document has 3 problems, each with a remedy
+
+  Scenario: Several values of the wrong type at once
+    Given example "centre" with "weight = 4.0" replaced by "weight = true"
+    And in it "slots = 16" replaced by "slots = 1.5"
+    Then the document has 2 problems, each with a remedy
+
+  Scenario: The strictest workload applies when the caller names none
+    Given the example "centre"
+    Then a model request of "intake" without a workload is non-idempotent
+    And a model request of "lawyers" without a workload is idempotent
+    And a service request "POST" "/unknown" is non-idempotent
+    And a service request "GET" "/filings/1" is idempotent
--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,21 @@
+Feature: Settings of the programs
+  Each flag is also an environment variable; a mistake is named with its remedy.
+
+  Scenario Outline: A mistake ends the program with status 2
+    When "<program>" starts with flags "<flags>" and environment "<environment>"
+    Then it exits with 2 and names "<text>"
+
+    Examples:
+      | program | flags                               | environment                | text                  |
+      | router  | --name=a --data_centre=b            |                            | mesh_keys             |
+      | router  | --data_centre=b --mesh_keys=k       |                            | --name                |
+      | router  | --name=a --data_centre=b --mesh_keys=k --port=70000 |            | --port                |
+      | router  | --name=a --data_centre=b --mesh_keys=k | BRONZEMUX_PORT=many     | BRONZEMUX_PORT='many' |
+      | router  | --unknown                           |                            | unknown               |
+      | dev     |                                     | BRONZEMUX_ROUTERS=99       | BRONZEMUX_ROUTERS     |
+      | dev     | --examples=none                     |                            | --examples='none'     |
+      | dev     | --deployment=other                  |                            | --deployment          |
+
+  Scenario: A flag goes before its environment variable
+    When "dev" starts with flags "--examples=none" and environment "BRONZEMUX_EXAMPLES=other"
+    Then it exits with 2 and names "--examples='none'"
