--- a/bronzemux/admission.py
+++ b/bronzemux/admission.py
@@ -7,6 +7,7 @@
 
 LOWEST_PRIORITY = 9
 PRIORITY_DISCOUNT = 0.75
+SCAN_DEPTH = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,21 +78,24 @@
     def pop_first(self, accept: Callable[[Ticket], bool]) -> Ticket | None:
         """Remove and return the first ticket in fair order that is accepted.
 
-        Only the first ticket of each team is offered, so that a team keeps its order.
+        The first `SCAN_DEPTH` tickets of each team are offered: a request that waits for a
+        certain endpoint does not hold up its team's requests for others.
 
         Args:
           accept: Called with a ticket; true when it can start now.
         """
         for team in sorted(self.queues, key=self.starts.__getitem__):
-            ticket = self.queues[team][0][2]
-            if accept(ticket):
-                self._take(team)
-                return ticket
+            for item in heapq.nsmallest(SCAN_DEPTH, self.queues[team]):
+                if accept(item[2]):
+                    self._take(team, item)
+                    return item[2]
         return None
 
-    def _take(self, team: str) -> None:
+    def _take(self, team: str, item: tuple[int, int, Ticket]) -> None:
         queue = self.queues[team]
-        ticket = heapq.heappop(queue)[2]
+        queue.remove(item)
+        heapq.heapify(queue)
+        ticket = item[2]
         start = self.starts[team]
         self.virtual_time = max(self.virtual_time, start)
         discount = PRIORITY_DISCOUNT ** (LOWEST_PRIORITY - ticket.priority)
--- a/bronzemux/config.py
+++ b/bronzemux/config.py
@@ -198,7 +198,7 @@
     try:
         config = converter().structure(document, Config)
     except cattrs.BaseValidationError as error:
-        problems = list(_structure_problems(error, ""))
+        problems = list(structure_problems(error, ""))
         raise errors.ConfigError("configuration has mistakes", problems) from None
     problems = [problem for check in CHECKS for problem in check(config)]
     if problems:
@@ -235,14 +235,15 @@
     return tuple(value)
 
 
-def _structure_problems(error, path: str) -> Iterator[errors.ConfigProblemError]:
+def structure_problems(error, path: str) -> Iterator[errors.ConfigProblemError]:
+    """Iterate over the problems of a decoding error, each with its path."""
     if not isinstance(error, cattrs.BaseValidationError):
         yield _leaf_problem(error, path)
         return
     for child in error.exceptions:
         notes = getattr(child, "__notes__", ())
         place = next((n for n in notes if hasattr(n, "name") or hasattr(n, "index")), None)
-        yield from _structure_problems(child, _join(path, place))
+        yield from structure_problems(child, _join(path, place))
 
 
 def _join(path: str, place) -> str:
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -15,6 +15,8 @@
     logs,
     messages,
     metrics,
+    policies,
+    preferences,
     quarantine,
     requests,
     retries,
@@ -36,10 +38,12 @@
     Attributes:
       data_centre: Data centre of this router.
       index_entries: Capacity of the prefix index.
+      policy: Policy that chooses endpoints.
     """
 
     data_centre: str
     index_entries: int = index.DEFAULT_CAPACITY
+    policy: policies.Policy = dataclasses.field(default_factory=policies.ReuseAndLoad)
 
 
 class Dispatcher(supervisor.Task):
@@ -76,7 +80,9 @@
         self.quarantine = quarantine.Quarantine()
         self.running: dict[str, dict[str, requests.Request]] = {}
         self.lost: dict[str, dict[str, str]] = {}
+        self.preferences = preferences.Preferences()
         self.counted: set[str] = set()
+        self.prefilling: set[tuple[str, str]] = set()
         self.computed_share = 1.0
 
     def start_state(self) -> None:
@@ -99,6 +105,7 @@
     def _apply(self, message: messages.SnapshotChanged) -> None:
         self.snapshot = message.snapshot
         gone = self.fleet.apply(message.snapshot.config, message.snapshot.preset)
+        self.preferences = preferences.Preferences()
         for name in gone:
             self.index.forget(name)
         self.queue.limit = message.snapshot.preset.queue_limit
@@ -118,17 +125,17 @@
     @handle.register
     def _abandon(self, message: messages.Abandon) -> None:
         self.queue.remove(message.request.head.id)
+        self.preferences.forget(message.request.head.id)
 
     @handle.register
     def _first_part(self, message: messages.FirstPart) -> None:
-        assignment = message.assignment
-        self.fleet.prefill_done(assignment.endpoint.name, _new_tokens(assignment))
+        self._end_prefill(message.assignment)
 
     @handle.register
     def _attempt_ended(self, message: messages.AttemptEnded) -> None:
         assignment = message.assignment
         name = assignment.endpoint.name
-        self.fleet.prefill_done(name, _new_tokens(assignment))
+        self._end_prefill(assignment)
         self.fleet.end_work(name)
         self.running.get(name, {}).pop(assignment.request.head.id, None)
         if message.incarnation:
@@ -228,6 +235,7 @@
         """Refuse requests whose deadline passed and start what can start."""
         for ticket in self.queue.expire(self.clock.monotonic()):
             self.meters.refusals.labels(errors.OverloadedError.kind).inc()
+            self.preferences.forget(ticket.request)
             ticket.payload.reply.set_exception(self._overloaded("the deadline passed in the queue"))
         self.meters.waiting.set(len(self.queue))
         self._pump()
@@ -295,17 +303,26 @@
     def _pump(self) -> None:
         while len(self.queue):
             now = self.clock.monotonic()
-            view = self.fleet.view(now, self.peers)
+            view = self.fleet.view(now, self.peers, self.preferences.counts)
             chosen: list[routing.Choice] = []
             ticket = self.queue.pop_first(functools.partial(self._accept, view, chosen))
             if ticket is None:
                 return
+            self.preferences.forget(ticket.request)
             self._assign(ticket.payload, chosen[0], now)
 
     def _accept(self, view, chosen, ticket: admission.Ticket) -> bool:
+        """Return whether a ticket can start; remember what it waits for when not."""
+        preferred = self.preferences.get(ticket.request, view.now)
+        if preferred is not None and not view.room[view.names.index(preferred)]:
+            return False
+        self.preferences.forget(ticket.request)
         choice = self._choose(view, ticket.payload)
         if choice is None:
             return False
+        if not choice.has_room:
+            self.preferences.set(ticket.request, choice.endpoint, view.now)
+            return False
         chosen.append(choice)
         return True
 
@@ -321,7 +338,8 @@
         demand = self._demand(request, allowed)
         preset = self.snapshot.preset
         weights = routing.Weights(preset.load_weight, preset.reuse_weight)
-        return routing.choose(view, demand, self.index.overlaps(demand.chain), weights)
+        overlaps = self.index.overlaps(demand.chain)
+        return self.settings.policy.choose(view, demand, overlaps, weights)
 
     def _demand(self, request: requests.Request, allowed) -> routing.Demand:
         piece_tokens = self.snapshot.config.deployment.piece_bytes // config.BYTES_PER_TOKEN
@@ -348,21 +366,31 @@
         endpoint = self.fleet.states[choice.endpoint].endpoint
         assignment = messages.Assignment(request, endpoint, choice.reused_tokens, now)
         self.fleet.start_work(endpoint.name, _new_tokens(assignment))
+        self.prefilling.add((request.head.id, endpoint.name))
         self.running.setdefault(endpoint.name, {})[request.head.id] = request
         if isinstance(request, requests.ModelRequest):
             self.index.insert(endpoint.name, request.chain)
         self.meters.decisions.labels(endpoint.name).inc()
         message.reply.set(assignment)
 
+    def _end_prefill(self, assignment: messages.Assignment) -> None:
+        """Count the prompt of an attempt as computed, at its first part or its end."""
+        key = (assignment.request.head.id, assignment.endpoint.name)
+        if key in self.prefilling:
+            self.prefilling.discard(key)
+            self.fleet.prefill_done(assignment.endpoint.name, _new_tokens(assignment))
+
     # Health
 
     def _learn(self, message: messages.AttemptEnded) -> None:
         assignment = message.assignment
         name = assignment.endpoint.name
         self.fleet.succeed(name)
+        self.fleet.learn_service(name, self.clock.monotonic() - assignment.assigned)
         self.quarantine.clear(assignment.request.fingerprint)
         if message.prompt_tokens:
             self.fleet.learn_reuse(name, assignment.reused_tokens, message.cached_tokens)
+            self.fleet.learn_new_tokens(message.prompt_tokens - message.cached_tokens)
             computed = 1.0 - message.cached_tokens / message.prompt_tokens
             self.computed_share += SHARE_EWMA_WEIGHT * (computed - self.computed_share)
             self.meters.prompt_tokens.inc(message.prompt_tokens)
--- a/bronzemux/engine_http.py
+++ b/bronzemux/engine_http.py
@@ -220,7 +220,6 @@
             incarnation=incarnation,
             running=int(raw["running"]),
             waiting=int(raw["waiting"]),
-            waiting_tokens=int(raw["waiting_tokens"]),
         )
         events = engine.EventBatch(
             incarnation=incarnation,
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -1,13 +1,17 @@
 """Knowledge of one router about the endpoints: load, speed, health and reuse."""
 
 import dataclasses
+import math
 
 import numpy as np
 
 from bronzemux import config, routing
 
 LOAD_REPORT_MAX_AGE_SECONDS = 5.0
-RATE_EWMA_WEIGHT = 0.1
+NEW_TOKENS_EWMA_WEIGHT = 0.05
+SERVICE_EWMA_WEIGHT = 0.05
+INITIAL_SERVICE_SECONDS = 0.5
+INITIAL_NEW_TOKENS = 1000.0
 CONFIDENCE_EWMA_WEIGHT = 0.1
 SUSPECT_AFTER_FAILURES = 1
 EJECTION_SECONDS = 2.0
@@ -25,16 +29,14 @@
     Attributes:
       endpoint: Name.
       incarnation: Identity of the endpoint's process.
-      running: Requests in a slot.
-      waiting: Requests in the queue.
-      waiting_tokens: Prompt tokens not yet computed.
+      running: Requests whose answer is being generated.
+      waiting: Requests whose prompt is not yet computed.
     """
 
     endpoint: str
     incarnation: str
     running: int
     waiting: int
-    waiting_tokens: int
 
 
 @dataclasses.dataclass
@@ -44,8 +46,10 @@
     endpoint: config.Endpoint
     incarnation: str = ""
     in_flight: int = 0
+    prefilling: int = 0
     outstanding_tokens: int = 0
     rate: float = 0.0
+    service_seconds: float = INITIAL_SERVICE_SECONDS
     confidence: float = 1.0
     failures: int = 0
     ejected_until: float = 0.0
@@ -54,7 +58,7 @@
     is_dead: bool = False
     report: LoadReport | None = None
     reported_at: float = -1e9
-    own_at_report: int = 0
+    others_waiting: int = 0
     weights: dict[str, str] = dataclasses.field(default_factory=dict)
 
     def __post_init__(self):
@@ -73,8 +77,10 @@
         self.states: dict[str, EndpointState] = {}
         self.preset: config.Preset | None = None
         self.operations = config.Operations()
+        self.mean_new_tokens = INITIAL_NEW_TOKENS
         self.names: tuple[str, ...] = ()
         self.seeds = np.array([], dtype=np.uint64)
+        self.weights = np.array([])
 
     def apply(self, snapshot: config.Config, preset: config.Preset) -> tuple[str, ...]:
         """Take over the endpoints of a configuration.
@@ -97,6 +103,7 @@
         self.names = tuple(self.states)
         seeds = [routing.endpoint_seed(name) for name in self.names]
         self.seeds = np.array(seeds, dtype=np.uint64)
+        self.weights = np.array([_weight(state.endpoint) for state in self.states.values()])
         return gone
 
     def _adopt(self, name: str, endpoint: config.Endpoint) -> None:
@@ -134,7 +141,7 @@
         is_new = self.see_incarnation(report.endpoint, report.incarnation, now)
         state.report = report
         state.reported_at = now
-        state.own_at_report = state.outstanding_tokens
+        state.others_waiting = max(0, report.waiting - state.prefilling)
         return is_new
 
     def see_incarnation(self, name: str, incarnation: str, now: float) -> bool:
@@ -164,12 +171,14 @@
         """Count a request that is sent to an endpoint."""
         state = self.states[name]
         state.in_flight += 1
+        state.prefilling += 1
         state.outstanding_tokens += tokens
 
     def prefill_done(self, name: str, tokens: int) -> None:
-        """Count the tokens of a prompt as computed."""
+        """Count a prompt as computed, once for each `start_work`."""
         state = self.states.get(name)
         if state is not None:
+            state.prefilling = max(0, state.prefilling - 1)
             state.outstanding_tokens = max(0, state.outstanding_tokens - tokens)
 
     def end_work(self, name: str) -> None:
@@ -223,51 +232,59 @@
         state.confidence += CONFIDENCE_EWMA_WEIGHT * (share - state.confidence)
         state.confidence = max(routing.MIN_CONFIDENCE, state.confidence)
 
-    def learn_rate(self, name: str, computed_tokens: int, seconds: float) -> None:
-        """Adjust the prefill rate from an answer that did not wait."""
+    def learn_service(self, name: str, seconds: float) -> None:
+        """Adjust the mean time that a request keeps a slot of an endpoint."""
         state = self.states.get(name)
-        if state is None or computed_tokens <= 0 or seconds <= 0:
-            return
-        state.rate += RATE_EWMA_WEIGHT * (computed_tokens / seconds - state.rate)
+        if state is not None:
+            state.service_seconds += SERVICE_EWMA_WEIGHT * (seconds - state.service_seconds)
+
+    def learn_new_tokens(self, tokens: int) -> None:
+        """Adjust the mean number of tokens that an engine computes for a prompt."""
+        self.mean_new_tokens += NEW_TOKENS_EWMA_WEIGHT * (tokens - self.mean_new_tokens)
 
-    def view(self, now: float, peers: int = 1) -> routing.FleetView:
+    def view(self, now: float, peers: int, queued: dict[str, int]) -> routing.FleetView:
         """Return an immutable view for one decision.
 
         Args:
           now: Monotonic seconds.
           peers: Number of routers that share the endpoints.
+          queued: Requests of this router that wait for a slot, by endpoint.
         """
         states = list(self.states.values())
         rate = np.array([state.rate for state in states])
+        capacity = np.array([self._capacity(state, now, peers) for state in states])
+        in_flight = np.array([state.in_flight for state in states])
+        ahead = np.array([queued.get(name, 0) for name in self.names])
+        room = np.maximum(0, capacity - in_flight - ahead)
+        turn = np.array([state.service_seconds for state in states]) / np.maximum(1, capacity)
         return routing.FleetView(
             names=self.names,
             seeds=self.seeds,
-            weights=np.array([state.endpoint.prefill_tokens_per_second for state in states]),
+            weights=self.weights,
             rate=rate,
             wait=np.array([self._backlog(state, now) for state in states]) / rate,
-            room=np.array([self._room(state, now, peers) for state in states]),
+            slot_wait=np.where(room > 0, 0.0, turn * (ahead + 1)),
+            room=np.maximum(0, capacity - in_flight),
+            available=np.array([self.is_available(state, now) for state in states], dtype=bool),
             confidence=np.array([state.confidence for state in states]),
             remote=np.array([state.endpoint.data_centre != self.data_centre for state in states]),
+            now=now,
         )
 
     def _backlog(self, state: EndpointState, now: float) -> float:
         """Return prompt tokens ahead of a new request: own ones and those of other routers."""
         if state.report is None or now - state.reported_at > LOAD_REPORT_MAX_AGE_SECONDS:
             return state.outstanding_tokens
-        others = max(0, state.report.waiting_tokens - state.own_at_report)
-        return state.outstanding_tokens + others
+        return state.outstanding_tokens + state.others_waiting * self.mean_new_tokens
 
-    def _room(self, state: EndpointState, now: float, peers: int) -> int:
-        """Return how many more requests this router may send to an endpoint.
+    def _capacity(self, state: EndpointState, now: float, peers: int) -> int:
+        """Return how many requests this router may have at an endpoint.
 
         A router may use `ROOM_FACTOR` times its equal part of the slots, because routers do not
         load the endpoints alike.
         """
-        if not self.is_available(state, now):
-            return 0
         part = state.endpoint.slots * min(1.0, ROOM_FACTOR / peers)
-        capacity = max(MIN_ROOM, part) * self._warmth(state, now)
-        return max(0, int(max(1.0, capacity)) - state.in_flight)
+        return max(1, int(max(MIN_ROOM, part) * self._warmth(state, now)))
 
     def _warmth(self, state: EndpointState, now: float) -> float:
         """Return the share of its room that an endpoint gets during slow start."""
@@ -313,3 +330,8 @@
             state.is_dead = False
             state.failures = 0
             state.ejected_until = 0.0
+
+
+def _weight(endpoint: config.Endpoint) -> float:
+    """Return the weight in rendezvous hashing: the geometric mean of speed and cache size."""
+    return math.sqrt(endpoint.prefill_tokens_per_second * endpoint.cache_pieces)
--- a/bronzemux/routing.py
+++ b/bronzemux/routing.py
@@ -20,10 +20,13 @@
       seeds: Hash of each name, unsigned 64-bit, for rendezvous hashing.
       weights: Relative weight of each endpoint in rendezvous hashing.
       rate: Prefill tokens a second.
-      wait: Expected seconds before the prefill of a new request starts.
-      room: Free slots; a request goes only where this is above 0.
+      wait: Expected seconds before the prefill of a new request starts, once it has a slot.
+      slot_wait: Expected seconds before a slot is free; 0 where `room` is above 0.
+      room: Free slots; a request starts only where this is above 0.
+      available: Whether new work is allowed.
       confidence: Share of predicted reuse that the endpoint confirmed lately, 0 to 1.
       remote: Whether the endpoint is in another data centre.
+      now: Monotonic seconds of the view.
     """
 
     names: tuple[str, ...]
@@ -31,9 +34,12 @@
     weights: np.ndarray
     rate: np.ndarray
     wait: np.ndarray
+    slot_wait: np.ndarray
     room: np.ndarray
+    available: np.ndarray
     confidence: np.ndarray
     remote: np.ndarray
+    now: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +65,7 @@
 
     load: float = 1.0
     reuse: float = 1.0
+    spread: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,11 +76,13 @@
       position: Position in the view.
       endpoint: Name.
       reused_tokens: Prompt tokens expected in its cache.
+      has_room: Whether it can start now; if not, the request had better wait for it.
     """
 
     position: int
     endpoint: str
     reused_tokens: int
+    has_room: bool = True
 
 
 def endpoint_seed(name: str) -> int:
@@ -81,21 +90,41 @@
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
-def home(view: FleetView, allowed: np.ndarray, key: int) -> int:
-    """Return the position with the highest weighted rendezvous score for a key.
+def scores(view: FleetView, key: int) -> np.ndarray:
+    """Return the weighted rendezvous score of every endpoint for a key; the highest is first.
 
     Weighted rendezvous hashing after Schindelhauer and Schomaker: the score is
     ``-weight / ln(hash)`` with the hash scaled to (0, 1).
 
     Args:
       view: The fleet.
-      allowed: Boolean array of endpoints that may be chosen; at least one is true.
       key: Unsigned 64-bit key.
     """
     mixed = _mix(view.seeds ^ np.uint64(key))
     unit = (mixed.astype(np.float64) + 1.0) / 18446744073709551617.0
-    score = np.where(allowed, -view.weights / np.log(unit), -math.inf)
-    return int(np.argmax(score))
+    return -view.weights / np.log(unit)
+
+
+def home(view: FleetView, allowed: np.ndarray, key: int) -> int:
+    """Return the allowed position with the highest rendezvous score for a key.
+
+    Args:
+      view: The fleet.
+      allowed: Boolean array of endpoints that may be chosen; at least one is true.
+      key: Unsigned 64-bit key.
+    """
+    return int(np.argmax(np.where(allowed, scores(view, key), -math.inf)))
+
+
+def ranks(view: FleetView, allowed: np.ndarray, key: int) -> np.ndarray:
+    """Return the place of every endpoint in the rendezvous order of a key, 0 for the first.
+
+    Endpoints that are not allowed come last.
+    """
+    order = np.argsort(-np.where(allowed, scores(view, key), -math.inf), kind="stable")
+    result = np.empty(len(order))
+    result[order] = np.arange(len(order))
+    return result
 
 
 def _mix(values: np.ndarray) -> np.ndarray:
@@ -106,43 +135,53 @@
 
 
 def choose(
-    view: FleetView, demand: Demand, overlaps: dict[str, int], weights: Weights
+    view: FleetView,
+    demand: Demand,
+    overlaps: dict[str, int],
+    weights: Weights,
+    rank_cost: np.ndarray | float = 0.0,
 ) -> Choice | None:
     """Choose the endpoint with the least expected cost.
 
     The cost of an endpoint is the expected wait, the prefill time of the tokens that are not
     cached there, and a penalty for recomputing them. Pieces that no endpoint is known to hold
     are assumed, with `HOME_PROBABILITY`, at the rendezvous home of the first such piece, so that
-    routers that do not talk to each other choose alike.
+    routers that do not talk to each other choose alike. An endpoint without room may be chosen:
+    under overload, a short wait for a cached prefix costs the fleet less than a recomputation,
+    and sending work to whatever endpoint has room would keep the overload up.
 
     Args:
       view: The fleet.
       demand: The request.
       overlaps: Leading pieces held by endpoint, from `index.PrefixIndex.overlaps`.
       weights: Weights of the cost terms.
+      rank_cost: Further seconds for each endpoint.
 
     Returns:
-      The choice, or None when no allowed endpoint has room.
+      The choice, or None when no allowed endpoint is available.
     """
-    open_mask = demand.allowed & (view.room > 0)
-    if not open_mask.any():
+    allowed = demand.allowed & view.available
+    if not allowed.any():
         return None
-    reused = _expected_reuse(view, demand, overlaps)
+    reused = _expected_reuse(view, demand, overlaps, allowed)
     missing = np.maximum(demand.tokens - reused, 1.0)
-    mean_rate = view.rate[demand.allowed].mean()
-    cost = weights.load * view.wait + missing / view.rate
+    mean_rate = view.rate[allowed].mean()
+    cost = weights.load * (view.wait + view.slot_wait) + missing / view.rate
     cost = cost + weights.reuse * missing / mean_rate
-    cost = cost + view.remote * REMOTE_DATA_CENTRE_SECONDS
-    position = int(np.argmin(np.where(open_mask, cost, math.inf)))
-    return Choice(position, view.names[position], int(reused[position]))
+    cost = cost + view.remote * REMOTE_DATA_CENTRE_SECONDS + rank_cost
+    position = int(np.argmin(np.where(allowed, cost, math.inf)))
+    has_room = bool(view.room[position] > 0)
+    return Choice(position, view.names[position], int(reused[position]), has_room)
 
 
-def _expected_reuse(view: FleetView, demand: Demand, overlaps: dict[str, int]) -> np.ndarray:
+def _expected_reuse(
+    view: FleetView, demand: Demand, overlaps: dict[str, int], allowed: np.ndarray
+) -> np.ndarray:
     held = np.fromiter((overlaps.get(name, 0) for name in view.names), float, len(view.names))
     reused = held * view.confidence * demand.piece_tokens
-    deepest = max(overlaps.get(view.names[i], 0) for i in np.flatnonzero(demand.allowed))
+    deepest = int(held[allowed].max())
     if deepest < len(demand.chain):
-        position = home(view, demand.allowed, demand.chain[deepest])
-        rest = len(demand.chain) - held[position]
+        position = home(view, allowed & (held == deepest), demand.chain[deepest])
+        rest = len(demand.chain) - deepest
         reused[position] += HOME_PROBABILITY * rest * demand.piece_tokens
     return reused
--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -228,7 +228,7 @@
         self.works: collections.OrderedDict[str, Work] = collections.OrderedDict()
         self.prefill = PrefillQueue()
         self.running = 0
-        self.waiting_tokens = 0
+        self.waiting = 0
         self.greenlets: set[gevent.Greenlet] = set()
         self.muted: set = set()
 
@@ -310,13 +310,13 @@
         return work
 
     def _run(self, work: Work) -> None:
-        self.waiting_tokens += work.tokens
+        self.waiting += 1
         self.prefill.acquire(work.priority)
         self.running += 1
         try:
             cached = self._compute_prompt(work)
         finally:
-            self.waiting_tokens -= work.tokens
+            self.waiting -= 1
             self.prefill.release()
         try:
             if not work.is_cancelled:
@@ -449,8 +449,7 @@
         body = {
             "incarnation": self.incarnation,
             "running": self.running,
-            "waiting": len(self.prefill.waiting),
-            "waiting_tokens": self.waiting_tokens,
+            "waiting": self.waiting,
             "first": events[0][0] if events else self.cache.last + 1,
             "last": self.cache.last,
             "stored": [f"{key:016x}" for _, key, is_stored in events if is_stored],
--- /dev/null
+++ b/bronzemux/traffic.py
@@ -0,0 +1,204 @@
+"""Seeded traffic of a deployment: nested prefixes, a hot set that shifts, and faults."""
+
+import dataclasses
+import hashlib
+import random
+import tomllib
+from collections.abc import Iterator
+
+import cattrs
+
+from bronzemux import config, errors
+
+FAULT_KINDS = ("crash", "gaps", "slow", "hot-shift", "herd-restart")
+KEY_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class Level:
+    """One level of nested prefixes.
+
+    Attributes:
+      pieces: Length in pieces.
+      count: Number of different prefixes under one parent.
+      skew: Exponent of the Zipf distribution of their use.
+    """
+
+    pieces: int
+    count: int
+    skew: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """Part of the requests that a team sends."""
+
+    team: str
+    share: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault at a moment of the run.
+
+    Attributes:
+      at_seconds: When it begins.
+      kind: One of `FAULT_KINDS`.
+      target: Endpoint or data centre.
+      seconds: How long it lasts.
+      factor: Slowness, or the share of event batches that are lost.
+    """
+
+    at_seconds: float
+    kind: str
+    target: str = ""
+    seconds: float = 0.0
+    factor: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Traffic:
+    """Traffic of one run.
+
+    Attributes:
+      deployment: Name of the deployment.
+      seed: Seed of all draws.
+      duration_seconds: Length of the run.
+      requests_per_second: Mean rate of arrivals, which are a Poisson process.
+      routers: Number of routers that share the arrivals.
+      shares: Parts of the teams.
+      document: Upper level, such as a statute or catalogue.
+      case: Lower level, such as a case or an order.
+      question_tokens: Least and most tokens of a question.
+      answer_tokens: Least and most tokens of an answer.
+      faults: Faults of the run.
+    """
+
+    deployment: str
+    seed: int
+    duration_seconds: float
+    requests_per_second: float
+    routers: int
+    shares: tuple[Share, ...]
+    document: Level
+    case: Level
+    question_tokens: tuple[int, int]
+    answer_tokens: tuple[int, int]
+    faults: tuple[Fault, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request.
+
+    Attributes:
+      at: Seconds from the start.
+      number: Position in the run.
+      team: Name of the team.
+      document: Number of the document.
+      case: Number of the case.
+      question_tokens: Tokens of the question, which is unique.
+      answer_tokens: Tokens to generate.
+      router: Number of the router that gets it.
+    """
+
+    at: float
+    number: int
+    team: str
+    document: int
+    case: int
+    question_tokens: int
+    answer_tokens: int
+    router: int
+
+
+def loads(text: str) -> Traffic:
+    """Decode a traffic file.
+
+    Args:
+      text: TOML document.
+
+    Raises:
+      errors.ConfigError: With all mistakes.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        problem = errors.ConfigProblemError("document", str(error), "correct the TOML syntax")
+        raise errors.ConfigError("traffic is not TOML", [problem]) from None
+    try:
+        traffic = config.converter().structure(document, Traffic)
+    except cattrs.BaseValidationError as error:
+        problems = list(config.structure_problems(error, ""))
+        raise errors.ConfigError("traffic has mistakes", problems) from None
+    problems = list(check(traffic))
+    if problems:
+        raise errors.ConfigError("traffic has mistakes", problems)
+    return traffic
+
+
+def check(traffic: Traffic) -> Iterator[errors.ConfigProblemError]:
+    """Iterate over the mistakes of a traffic file."""
+    if not traffic.shares:
+        yield errors.ConfigProblemError("shares", "is empty", "name at least one team")
+    for position, fault in enumerate(traffic.faults):
+        if fault.kind not in FAULT_KINDS:
+            yield errors.ConfigProblemError(
+                f"faults[{position}].kind",
+                f"{fault.kind!r} is unknown",
+                f"use one of {', '.join(FAULT_KINDS)}",
+            )
+    for field in ("duration_seconds", "requests_per_second", "routers"):
+        if getattr(traffic, field) <= 0:
+            yield errors.ConfigProblemError(field, "is not above 0", "give a number above 0")
+
+
+def arrivals(traffic: Traffic) -> Iterator[Arrival]:
+    """Iterate over the requests of a run in order of time; the same on every call."""
+    source = random.Random(traffic.seed)
+    weights = [share.share for share in traffic.shares]
+    shifts = sorted(fault.at_seconds for fault in traffic.faults if fault.kind == "hot-shift")
+    document_weights = _zipf(traffic.document)
+    case_weights = _zipf(traffic.case)
+    now, number = 0.0, 0
+    while True:
+        now += source.expovariate(traffic.requests_per_second)
+        if now >= traffic.duration_seconds:
+            return
+        phase = sum(1 for at in shifts if at <= now)
+        rank = source.choices(range(traffic.case.count), case_weights)[0]
+        yield Arrival(
+            at=now,
+            number=number,
+            team=source.choices(traffic.shares, weights)[0].team,
+            document=source.choices(range(traffic.document.count), document_weights)[0],
+            case=(rank + phase * traffic.case.count // 3) % traffic.case.count,
+            question_tokens=source.randint(*traffic.question_tokens),
+            answer_tokens=source.randint(*traffic.answer_tokens),
+            router=source.randrange(traffic.routers),
+        )
+        number += 1
+
+
+def chain(traffic: Traffic, arrival: Arrival) -> tuple[int, ...]:
+    """Return the cache keys of a request's document and case."""
+    document = f"{arrival.team}/{arrival.document}"
+    case = f"{document}/{arrival.case}"
+    keys = [_key(document, i) for i in range(traffic.document.pieces)]
+    keys += [_key(case, i) for i in range(traffic.case.pieces)]
+    return tuple(keys)
+
+
+def tokens(traffic: Traffic, arrival: Arrival, piece_tokens: int) -> int:
+    """Return the tokens of a request's prompt."""
+    pieces = traffic.document.pieces + traffic.case.pieces
+    return pieces * piece_tokens + arrival.question_tokens
+
+
+def _key(name: str, position: int) -> int:
+    digest = hashlib.blake2b(f"{name}#{position}".encode(), digest_size=KEY_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _zipf(level: Level) -> list[float]:
+    return [1.0 / (rank + 1) ** level.skew for rank in range(level.count)]
