--- a/bronzemux/config.py
+++ b/bronzemux/config.py
@@ -133,7 +133,7 @@
     retry_ratio: float = 0.1
     retry_attempts: int = 3
     load_weight: float = 1.0
-    reuse_weight: float = 1.0
+    reuse_weight: float = 2.0
     ejection_limit: float = 0.34
     slow_start_seconds: float = 10.0
     drained_data_centres: tuple[str, ...] = ()
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -129,7 +129,12 @@
 
     @handle.register
     def _first_part(self, message: messages.FirstPart) -> None:
-        self._end_prefill(message.assignment)
+        assignment = message.assignment
+        self._end_prefill(assignment)
+        if assignment.expected_seconds:
+            seconds = self.clock.monotonic() - assignment.assigned
+            name = assignment.endpoint.name
+            self.fleet.learn_slowness(name, assignment.expected_seconds, seconds)
 
     @handle.register
     def _attempt_ended(self, message: messages.AttemptEnded) -> None:
@@ -364,7 +369,9 @@
     def _assign(self, message: messages.Admit, choice: routing.Choice, now: float) -> None:
         request = message.request
         endpoint = self.fleet.states[choice.endpoint].endpoint
-        assignment = messages.Assignment(request, endpoint, choice.reused_tokens, now)
+        assignment = messages.Assignment(
+            request, endpoint, choice.reused_tokens, now, choice.seconds
+        )
         self.fleet.start_work(endpoint.name, _new_tokens(assignment))
         self.prefilling.add((request.head.id, endpoint.name))
         self.running.setdefault(endpoint.name, {})[request.head.id] = request
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -17,8 +17,13 @@
 EJECTION_SECONDS = 2.0
 MAX_EJECTION_SECONDS = 30.0
 SLOW_START_FLOOR = 0.1
-GAP_DISCOUNT = 0.8
-ROOM_FACTOR = 2.0
+GAP_DISCOUNT = 0.95
+DOUBT = 0.8
+ROOM_FACTOR = 3.0
+SLOWNESS_EXPONENT = 0.15
+SLOWNESS_FLOOR_SECONDS = 0.03
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 20.0
 MIN_ROOM = 2
 
 
@@ -48,7 +53,7 @@
     in_flight: int = 0
     prefilling: int = 0
     outstanding_tokens: int = 0
-    rate: float = 0.0
+    slowness: float = 1.0
     service_seconds: float = INITIAL_SERVICE_SECONDS
     confidence: float = 1.0
     failures: int = 0
@@ -61,8 +66,10 @@
     others_waiting: int = 0
     weights: dict[str, str] = dataclasses.field(default_factory=dict)
 
-    def __post_init__(self):
-        self.rate = self.rate or self.endpoint.prefill_tokens_per_second
+    @property
+    def rate(self) -> float:
+        """Return the prefill tokens a second that the endpoint is expected to compute."""
+        return self.endpoint.prefill_tokens_per_second / self.slowness
 
 
 class Fleet:
@@ -163,6 +170,7 @@
         if is_restart:
             state.cold_since = now
             state.confidence = 1.0
+            state.slowness = 1.0
             state.report = None
             state.ejected_until = 0.0
         return is_restart
@@ -232,6 +240,21 @@
         state.confidence += CONFIDENCE_EWMA_WEIGHT * (share - state.confidence)
         state.confidence = max(routing.MIN_CONFIDENCE, state.confidence)
 
+    def learn_slowness(self, name: str, expected: float, seconds: float) -> None:
+        """Adjust the speed of an endpoint from a time to first token.
+
+        Args:
+          name: Name of the endpoint.
+          expected: Seconds that were expected when the request was assigned.
+          seconds: Seconds that it took.
+        """
+        state = self.states.get(name)
+        if state is None:
+            return
+        ratio = (seconds + SLOWNESS_FLOOR_SECONDS) / (expected + SLOWNESS_FLOOR_SECONDS)
+        slowness = state.slowness * ratio**SLOWNESS_EXPONENT
+        state.slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+
     def learn_service(self, name: str, seconds: float) -> None:
         """Adjust the mean time that a request keeps a slot of an endpoint."""
         state = self.states.get(name)
@@ -264,6 +287,7 @@
             rate=rate,
             wait=np.array([self._backlog(state, now) for state in states]) / rate,
             slot_wait=np.where(room > 0, 0.0, turn * (ahead + 1)),
+            queue=ahead + np.array([state.prefilling + state.others_waiting for state in states]),
             room=np.maximum(0, capacity - in_flight),
             available=np.array([self.is_available(state, now) for state in states], dtype=bool),
             confidence=np.array([state.confidence for state in states]),
@@ -318,10 +342,13 @@
         )
 
     def doubt(self, name: str) -> None:
-        """Trust predicted reuse less after cache events were lost."""
+        """Trust predicted reuse a little less after cache events were lost.
+
+        Gaps alone do not lower the confidence below `DOUBT`: what answers report decides.
+        """
         state = self.states.get(name)
         if state is not None:
-            state.confidence = max(routing.MIN_CONFIDENCE, state.confidence * GAP_DISCOUNT)
+            state.confidence = min(state.confidence, max(DOUBT, state.confidence * GAP_DISCOUNT))
 
     def revive(self, name: str) -> None:
         """Record that an endpoint answers its watcher, which ends an ejection as dead."""
--- a/bronzemux/messages.py
+++ b/bronzemux/messages.py
@@ -24,12 +24,14 @@
       endpoint: The endpoint.
       reused_tokens: Tokens expected in its cache.
       assigned: Monotonic seconds.
+      expected_seconds: Expected time to its first part.
     """
 
     request: requests.Request
     endpoint: config.Endpoint
     reused_tokens: int
     assigned: float
+    expected_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzemux/replay.py
+++ b/bronzemux/replay.py
@@ -47,6 +47,7 @@
       prompt_tokens: Tokens of the prompts of all attempts.
       computed_tokens: Tokens that engines computed.
       compulsory_tokens: Tokens that must be computed at least once.
+      lost_tokens: Tokens computed again because a crash took the only copy.
       first_token: Seconds to the first token, by percentile.
       team_first_token: Seconds to the first token of 99 in 100, by team.
       goodput: Answers a second within their objective.
@@ -61,6 +62,7 @@
     prompt_tokens: int
     computed_tokens: int
     compulsory_tokens: int
+    lost_tokens: int
     first_token: dict[float, float]
     team_first_token: dict[str, float]
     goodput: float
@@ -80,6 +82,11 @@
         """Return computed tokens as a multiple of compulsory ones."""
         return self.computed_tokens / max(1, self.compulsory_tokens)
 
+    @property
+    def waste_ratio_after_losses(self) -> float:
+        """Return computed tokens as a multiple of compulsory ones and those lost in crashes."""
+        return self.computed_tokens / max(1, self.compulsory_tokens + self.lost_tokens)
+
     @property
     def retry_ratio(self) -> float:
         """Return attempts after the first as a share of requests."""
@@ -123,6 +130,7 @@
             prompt_tokens=count["prompt_tokens"],
             computed_tokens=count["computed_tokens"],
             compulsory_tokens=count["compulsory_tokens"],
+            lost_tokens=count["lost_tokens"],
             first_token={p: _quantile(self.sketch, p) for p in PERCENTILES},
             team_first_token={t: _quantile(s, 99.0) for t, s in sorted(self.teams.items())},
             goodput=count["good"] / seconds,
@@ -320,6 +328,7 @@
         }
         self.loss = 0.0
         self.seen: set[int] = set()
+        self.lost: set[int] = set()
         self.excluded: dict[int, frozenset[str]] = {}
         self.attempts: collections.Counter[int] = collections.Counter()
         self.started: set[int] = set()
@@ -465,7 +474,10 @@
     def count_prompt(self, job: Job, missing: int) -> None:
         """Count the tokens of a prompt that an engine computes."""
         fresh = [key for key in job.request.chain if key not in self.seen]
+        again = [key for key in job.request.chain if key in self.lost]
         self.seen.update(fresh)
+        self.lost.difference_update(again)
+        self._count(job.arrival, "lost_tokens", len(again) * self.piece_tokens)
         question = job.request.tokens - len(job.request.chain) * self.piece_tokens
         compulsory = len(fresh) * self.piece_tokens + question
         self._count(job.arrival, "prompt_tokens", job.request.tokens)
@@ -519,6 +531,7 @@
 
     def _fault(self, fault: traffic.Fault) -> None:
         if fault.kind == "crash":
+            self._note_losses(self.engines[fault.target])
             self.engines[fault.target].crash()
             self.after(fault.seconds, self.engines[fault.target].restart)
         elif fault.kind == "gaps":
@@ -530,6 +543,12 @@
         elif fault.kind == "herd-restart":
             self._restart_routers()
 
+    def _note_losses(self, crashed: FakeEngine) -> None:
+        """Remember the pieces whose only copy is at an engine that crashes."""
+        others = [item for item in self.engines.values() if item is not crashed]
+        held = (key for key in crashed.cache if not any(key in item.cache for item in others))
+        self.lost.update(held)
+
     def _end_gaps(self) -> None:
         self.loss = 0.0
 
--- a/bronzemux/routing.py
+++ b/bronzemux/routing.py
@@ -9,6 +9,7 @@
 HOME_PROBABILITY = 0.6
 REMOTE_DATA_CENTRE_SECONDS = 0.002
 MIN_CONFIDENCE = 0.05
+MAX_QUEUE = 50.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,6 +23,7 @@
       rate: Prefill tokens a second.
       wait: Expected seconds before the prefill of a new request starts, once it has a slot.
       slot_wait: Expected seconds before a slot is free; 0 where `room` is above 0.
+      queue: Requests that wait for their prompt to be computed or for a slot.
       room: Free slots; a request starts only where this is above 0.
       available: Whether new work is allowed.
       confidence: Share of predicted reuse that the endpoint confirmed lately, 0 to 1.
@@ -35,6 +37,7 @@
     rate: np.ndarray
     wait: np.ndarray
     slot_wait: np.ndarray
+    queue: np.ndarray
     room: np.ndarray
     available: np.ndarray
     confidence: np.ndarray
@@ -64,7 +67,7 @@
     """Weights of the cost terms, in seconds of delay for one second of the term."""
 
     load: float = 1.0
-    reuse: float = 1.0
+    reuse: float = 2.0
     spread: float = 2.0
 
 
@@ -77,12 +80,14 @@
       endpoint: Name.
       reused_tokens: Prompt tokens expected in its cache.
       has_room: Whether it can start now; if not, the request had better wait for it.
+      seconds: Expected time to the first token once it has started.
     """
 
     position: int
     endpoint: str
     reused_tokens: int
     has_room: bool = True
+    seconds: float = 0.0
 
 
 def endpoint_seed(name: str) -> int:
@@ -144,7 +149,7 @@
     """Choose the endpoint with the least expected cost.
 
     The cost of an endpoint is the expected wait, the prefill time of the tokens that are not
-    cached there, and a penalty for recomputing them. Pieces that no endpoint is known to hold
+    cached there, and the delay that this prefill adds to each request that waits there. Pieces that no endpoint is known to hold
     are assumed, with `HOME_PROBABILITY`, at the rendezvous home of the first such piece, so that
     routers that do not talk to each other choose alike. An endpoint without room may be chosen:
     under overload, a short wait for a cached prefix costs the fleet less than a recomputation,
@@ -165,13 +170,14 @@
         return None
     reused = _expected_reuse(view, demand, overlaps, allowed)
     missing = np.maximum(demand.tokens - reused, 1.0)
-    mean_rate = view.rate[allowed].mean()
-    cost = weights.load * (view.wait + view.slot_wait) + missing / view.rate
-    cost = cost + weights.reuse * missing / mean_rate
+    compute = missing / view.rate
+    cost = weights.load * (view.wait + view.slot_wait) + compute
+    cost = cost + weights.reuse * compute * (1.0 + np.minimum(view.queue, MAX_QUEUE))
     cost = cost + view.remote * REMOTE_DATA_CENTRE_SECONDS + rank_cost
     position = int(np.argmin(np.where(allowed, cost, math.inf)))
     has_room = bool(view.room[position] > 0)
-    return Choice(position, view.names[position], int(reused[position]), has_room)
+    seconds = float(view.wait[position] + compute[position])
+    return Choice(position, view.names[position], int(reused[position]), has_room, seconds)
 
 
 def _expected_reuse(
--- a/bronzemux/traffic.py
+++ b/bronzemux/traffic.py
@@ -137,6 +137,23 @@
     return traffic
 
 
+def scaled(traffic: Traffic, rate: float, seconds: float) -> Traffic:
+    """Return traffic with another rate and length; 0 keeps what it has.
+
+    Args:
+      traffic: The traffic.
+      rate: Requests a second.
+      seconds: Length; faults after it are left out.
+    """
+    length = seconds or traffic.duration_seconds
+    return dataclasses.replace(
+        traffic,
+        requests_per_second=rate or traffic.requests_per_second,
+        duration_seconds=length,
+        faults=tuple(fault for fault in traffic.faults if fault.at_seconds < length),
+    )
+
+
 def check(traffic: Traffic) -> Iterator[errors.ConfigProblemError]:
     """Iterate over the mistakes of a traffic file."""
     if not traffic.shares:
