Let routers act as one: SWIM membership, spread of configuration, shares of limits

Cause: each router stood alone; a cold router needed the platform, limits held for each router only. Change: membership after SWIM as a machine without I/O, relays between data centres, signed CBOR messages over websockets, configuration heads as differences between peers, condemned requests and drain notices as gossip, shares of teams' limits granted by a home router, fake network for tests. Found by tests: a member paused for 15 s was never told that it was held for dead, so it could not refute; a home that had just taken over granted 1.87 times a limit. A probe's answer now tells a member its own state, and a home that knows a team for less than 3 s grants equal parts.

--- a/bronzemux/cli_router.py
+++ b/bronzemux/cli_router.py
@@ -21,6 +21,7 @@
 flags.DEFINE_string("platform_host", "127.0.0.1", "IP number of the platform's services.")
 flags.DEFINE_integer("platform_port", 7000, "TCP port of the platform's services.")
 flags.DEFINE_list("mesh_keys", [], "Keys shared by all routers; the first one signs.")
+flags.DEFINE_list("peers", [], "IP-number:peer-port of routers to ask when the platform is down.")
 flags.DEFINE_integer("max_body_bytes", 8 * 1024 * 1024, "Longest accepted body.", lower_bound=1)
 flags.DEFINE_float("body_seconds", 15.0, "Time for a body to arrive.", lower_bound=0.1)
 flags.DEFINE_float("drain_seconds", 60.0, "Time for requests to end at a stop.", lower_bound=0.0)
@@ -64,6 +65,7 @@
         platform_host=FLAGS.platform_host,
         platform_port=FLAGS.platform_port,
         mesh_keys=tuple(FLAGS.mesh_keys),
+        peers=tuple(FLAGS.peers),
         max_body_bytes=FLAGS.max_body_bytes,
         body_seconds=FLAGS.body_seconds,
         drain_seconds=FLAGS.drain_seconds,
--- a/bronzemux/config_store.py
+++ b/bronzemux/config_store.py
@@ -174,7 +174,7 @@
         last: errors.PlatformError | None = None
         for attempt in range(WRITE_ATTEMPTS):
             try:
-                self.service.transact(_writes(head))
+                self.service.transact(head_writes(head))
                 return head
             except errors.WriteConflictError:
                 return self._settle(change)
@@ -213,7 +213,8 @@
     return f"{HISTORY_PREFIX}{10**12 - version:012d}"
 
 
-def _writes(head: Head) -> list[table.Write]:
+def head_writes(head: Head) -> list[table.Write]:
+    """Return the writes that make a head the accepted one."""
     content = encode(head)
     return [
         table.Write(HEAD_KEY, head.version - 1, content),
--- a/bronzemux/development.py
+++ b/bronzemux/development.py
@@ -72,7 +72,6 @@
         config_store.ConfigStore(self.platform.table, self.clock).apply(change)
         for position in range(self.settings.routers):
             self.start_router(position)
-        self._publish_vms()
         self.wait_ready()
 
     def _start_endpoint(self, endpoint: config.Endpoint) -> None:
@@ -117,11 +116,13 @@
                 platform_port=self.platform.port,
                 progress_seconds=self.settings.progress_seconds,
                 drain_seconds=self.settings.drain_seconds,
+                peers=tuple(item.mesh.address for item in self.routers),
             ),
             self.clock,
         )
         started.start()
         self.routers[position : position + 1] = [started]
+        self._publish_vms()
         return started
 
     def crash_router(self, position: int) -> None:
@@ -136,7 +137,11 @@
             address = f"127.0.0.1:{item.port}"
             data_centre = item.settings.data_centre
             self.platform.vms.vms[item.settings.name] = vms.Vm(
-                item.settings.name, data_centre, address, "router"
+                item.settings.name,
+                data_centre,
+                address,
+                "router",
+                peer_address=item.mesh.address,
             )
         for endpoint in self.document.endpoints:
             self.platform.vms.vms[endpoint.name] = vms.Vm(
@@ -146,14 +151,17 @@
     def wait_ready(self) -> None:
         """Wait until every router has a configuration and reports of all endpoints."""
         limit = time.monotonic() + READY_SECONDS
-        while time.monotonic() < limit and not all(map(self._is_ready, self.routers)):
+        while time.monotonic() < limit and not all(map(self.is_ready, self.routers)):
             self.clock.sleep(READY_POLL_SECONDS)
 
-    def _is_ready(self, item: router.Router) -> bool:
+    def is_ready(self, item: router.Router) -> bool:
+        """Return whether a router has a configuration, its peers and reports of all engines."""
         states = item.dispatcher.fleet.states
         seen = [name for name in self.engines if name in states and states[name].incarnation]
-        has_vms = len(item.status.listed) >= len(self.routers)
-        return item.status.snapshot is not None and len(seen) == len(self.engines) and has_vms
+        has_vms = self.platform.faults.is_down or len(item.status.listed) >= len(self.routers)
+        knows_peers = len(item.mesh.membership.alive()) >= len(self.routers)
+        is_configured = item.status.snapshot is not None
+        return is_configured and len(seen) == len(self.engines) and has_vms and knows_peers
 
     def key(self, team: str) -> str:
         """Return the demonstration key of a team."""
--- /dev/null
+++ b/bronzemux/mesh.py
@@ -0,0 +1,380 @@
+"""Task that connects a router with the others over websockets."""
+
+import dataclasses
+import functools
+import socket
+
+import gevent
+import gevent.queue
+import websockets.exceptions
+from websockets.sync import client as websocket_client
+from websockets.sync import server as websocket_server
+
+from bronzemux import clock as clocks
+from bronzemux import (
+    config_delta,
+    config_store,
+    errors,
+    logs,
+    membership,
+    messages,
+    metrics,
+    shares,
+    signing,
+    supervisor,
+    vms,
+    wire,
+)
+
+TICK_SECONDS = 0.1
+CONNECT_SECONDS = 1.0
+KEEPALIVE_SECONDS = 5.0
+RECONNECT_SECONDS = 1.0
+QUEUE_MESSAGES = 64
+KEPT_HEADS = 8
+CONNECTION_ERRORS = (OSError, TimeoutError, websockets.exceptions.WebSocketException)
+
+
+@dataclasses.dataclass(frozen=True)
+class Frame:
+    """A sealed message from another router."""
+
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Publish:
+    """A configuration head came into force here."""
+
+    head: config_store.Head
+
+
+@dataclasses.dataclass(frozen=True)
+class Condemn:
+    """Fingerprints were condemned here."""
+
+    fingerprints: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Drain:
+    """This router takes no new callers."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Listed:
+    """The VM list changed."""
+
+    vms: tuple[vms.Vm, ...]
+
+
+class Peer:
+    """Outgoing connection to one router; drops messages while it is out of reach.
+
+    Args:
+      address: IP number and port.
+      meters: Metrics of the router.
+    """
+
+    def __init__(self, address: str, meters: metrics.Metrics):
+        self.address = address
+        self.meters = meters
+        self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_MESSAGES)
+        self.greenlet = gevent.spawn(self._run)
+
+    def send(self, frame: bytes) -> None:
+        """Queue a frame; it is dropped when the queue is full."""
+        try:
+            self.queue.put_nowait(frame)
+        except gevent.queue.Full:
+            logs.event("peer_queue_full", "debug", peer=self.address)
+
+    def close(self) -> None:
+        """End the connection."""
+        self.greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            first = self.queue.get()
+            try:
+                self._connect_and_send(first)
+            except CONNECTION_ERRORS as error:
+                logs.event("peer_lost", "debug", peer=self.address, cause=str(error))
+                gevent.sleep(RECONNECT_SECONDS)
+
+    def _connect_and_send(self, first: bytes) -> None:
+        host, _, port = self.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), CONNECT_SECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with websocket_client.connect(
+            f"ws://{self.address}/",
+            sock=sock,
+            open_timeout=CONNECT_SECONDS,
+            ping_interval=KEEPALIVE_SECONDS,
+            ping_timeout=KEEPALIVE_SECONDS,
+            compression=None,
+            max_size=wire.MAX_MESSAGE_BYTES,
+        ) as connection:
+            frame = first
+            while True:
+                connection.send(frame)
+                self.meters.mesh_bytes.labels("sent").inc(len(frame))
+                frame = self.queue.get()
+
+
+class Mesh(supervisor.Task):
+    """Membership, spread of configuration, condemned requests and shares of limits.
+
+    Args:
+      settings: Settings of the router.
+      clock: Source of time.
+      meters: Metrics of the router.
+      target: Dispatcher that gets condemned requests and shares.
+      offer: Called with configuration heads of others.
+      on_members: Called with the members after each tick.
+    """
+
+    def __init__(self, settings, clock: clocks.Clock, meters, target, offer, on_members):
+        super().__init__("mesh", clock, TICK_SECONDS)
+        self.settings = settings
+        self.meters: metrics.Metrics = meters
+        self.target = target
+        self.offer = offer
+        self.on_members = on_members
+        self.peers: dict[str, Peer] = {}
+        self.heads: dict[int, bytes] = {}
+        self.head_version = 0
+        self.keeper = shares.ShareKeeper()
+        self.holder = shares.ShareHolder()
+        self.used: dict[str, float] = {}
+        self.next_report = 0.0
+        self.reported_at = 0.0
+        self.asked: dict[str, float] = {}
+        self.port = settings.peer_port
+        self.server: websocket_server.Server | None = None
+        self._listen()
+        address = f"{settings.host}:{self.port}"
+        started = int(clock.now().timestamp())
+        own = wire.Member(settings.name, settings.data_centre, address, started)
+        self.membership = membership.Membership(own, settings.name)
+        self.configured = {f"seed-{a}": ("", a) for a in settings.peers if a != address}
+        self.membership.seed(self.configured)
+
+    def _listen(self) -> None:
+        """Open the listening socket; the port stays the same when the task restarts."""
+        listener = socket.create_server((self.settings.host, self.port))
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.port = listener.getsockname()[1]
+        self.server = websocket_server.serve(
+            self._accept,
+            sock=listener,
+            ping_interval=KEEPALIVE_SECONDS,
+            ping_timeout=KEEPALIVE_SECONDS,
+            compression=None,
+            max_size=wire.MAX_MESSAGE_BYTES,
+        )
+
+    @property
+    def address(self) -> str:
+        """Return IP number and port for other routers."""
+        return self.membership.own.address
+
+    def run(self) -> None:
+        """Accept connections and handle messages."""
+        if self.server is None:
+            self._listen()
+        acceptor = gevent.spawn(self.server.serve_forever)
+        try:
+            super().run()
+        finally:
+            acceptor.kill(block=False)
+            self._close()
+
+    def _close(self) -> None:
+        self.server.socket.close()
+        self.server = None
+        for peer in self.peers.values():
+            peer.close()
+        self.peers.clear()
+
+    def _accept(self, connection) -> None:
+        """Read the frames of one incoming connection."""
+        try:
+            for frame in connection:
+                if isinstance(frame, bytes):
+                    self.meters.mesh_bytes.labels("received").inc(len(frame))
+                    self.send(Frame(frame))
+        except CONNECTION_ERRORS as error:
+            logs.event("peer_connection_ended", "debug", cause=str(error))
+
+    # Messages
+
+    @functools.singledispatchmethod
+    def handle(self, message):
+        """Handle one message of this router or of another one."""
+        return super().handle(message)
+
+    @handle.register
+    def _frame(self, message: Frame) -> None:
+        keys = tuple(key.encode() for key in self.settings.mesh_keys)
+        try:
+            decoded = wire.decode(signing.unseal(message.content, keys))
+        except (signing.SignatureError, wire.WireError) as error:
+            logs.event("peer_message_refused", "warning", cause=error.message)
+            return
+        self.handle(decoded)
+
+    @handle.register(wire.Ping)
+    @handle.register(wire.Ack)
+    @handle.register(wire.PingRequest)
+    @handle.register(wire.SyncRequest)
+    @handle.register(wire.Sync)
+    def _member_message(self, message) -> None:
+        self._send_all(self.membership.receive(message, self.clock.monotonic()))
+        sender = message.gossip.sender
+        if message.gossip.config_version > self.head_version:
+            self._ask_config(sender.address)
+        if message.gossip.condemned:
+            self.target.send(messages.Condemned(message.gossip.condemned))
+
+    def _ask_config(self, address: str) -> None:
+        now = self.clock.monotonic()
+        if now - self.asked.get(address, -RECONNECT_SECONDS) < RECONNECT_SECONDS:
+            return
+        self.asked[address] = now
+        self._send(address, wire.ConfigRequest(self.membership.own, self.head_version))
+
+    @handle.register
+    def _config_request(self, message: wire.ConfigRequest) -> None:
+        if message.have >= self.head_version:
+            return
+        newest = self.heads[self.head_version]
+        known = self.heads.get(message.have)
+        if known is None:
+            self._send(message.sender.address, wire.ConfigWhole(newest))
+        else:
+            delta = config_delta.make(message.have, known, newest)
+            self._send(message.sender.address, delta)
+
+    @handle.register
+    def _config_whole(self, message: wire.ConfigWhole) -> None:
+        self._offer(message.head)
+
+    @handle.register
+    def _config_delta(self, message: wire.ConfigDelta) -> None:
+        base = self.heads.get(message.base)
+        if base is None:
+            return
+        try:
+            self._offer(config_delta.apply(message, base))
+        except config_delta.DeltaError as error:
+            logs.event("config_delta_refused", "warning", cause=error.message)
+            self.head_version = min(self.head_version, message.base)
+            self.heads.pop(message.base, None)
+
+    def _offer(self, content: bytes) -> None:
+        try:
+            self.offer(config_store.decode(content))
+        except (ValueError, TypeError) as error:
+            logs.event("config_refused", "warning", cause=repr(error))
+
+    @handle.register
+    def _publish(self, message: Publish) -> None:
+        if message.head.version <= self.head_version:
+            return
+        self.head_version = message.head.version
+        self.heads[self.head_version] = config_store.encode(message.head)
+        for version in sorted(self.heads)[:-KEPT_HEADS]:
+            del self.heads[version]
+        self._send_all(self.membership.set_version(self.head_version))
+
+    @handle.register
+    def _condemn(self, message: Condemn) -> None:
+        self._send_all(self.membership.condemn(message.fingerprints))
+
+    @handle.register
+    def _drain(self, message: Drain) -> None:
+        self._send_all(self.membership.drain())
+
+    @handle.register
+    def _listed(self, message: Listed) -> None:
+        routers = {
+            vm.name: (vm.data_centre, vm.peer_address)
+            for vm in message.vms
+            if vm.role == "router" and vm.peer_address and not vm.is_leaving
+        }
+        self.membership.seed(self._without_known_addresses() | routers)
+
+    def _without_known_addresses(self) -> dict[str, tuple[str, str]]:
+        """Return the configured peers that no member has as its address."""
+        known = {member.address for member in self.membership.members()}
+        return {n: place for n, place in self.configured.items() if place[1] not in known}
+
+    @handle.register
+    def _demand(self, message: wire.Demand) -> None:
+        routers = len(self.membership.alive())
+        grant = self.keeper.take(message, routers, self.clock.monotonic())
+        self._send(message.sender.address, grant)
+
+    @handle.register
+    def _grant(self, message: wire.Grant) -> None:
+        self.holder.take(message, self.clock.monotonic())
+
+    # Periodic work
+
+    def tick(self) -> None:
+        """Probe members, report demand and pass the state on."""
+        now = self.clock.monotonic()
+        self._send_all(self.membership.tick(now))
+        if now >= self.next_report:
+            self.next_report = now + shares.REPORT_SECONDS
+            self._report_demand(now)
+            self._drop_peers()
+        self.on_members(self.membership.members())
+
+    def _report_demand(self, now: float) -> None:
+        alive = self.membership.alive()
+        default = 1.0 / len(alive)
+        self.target.send(messages.LimitShares(default, self.holder.valid(now)))
+        self.target.send(messages.PeerCount(len(alive)))
+        for address, teams in shares.group_by_home(self._rates(now), alive).items():
+            demand = wire.Demand(self.membership.own, tuple(teams))
+            if address == self.address:
+                self.holder.take(self.keeper.take(demand, len(alive), now), now)
+            else:
+                self._send(address, demand)
+
+    def _rates(self, now: float) -> dict[str, float]:
+        """Return the requests a second of each team since the last report."""
+        try:
+            status = self.target.call(messages.Describe(), timeout=1.0)
+        except errors.UnavailableError:
+            return {}
+        elapsed = max(0.001, now - self.reported_at)
+        self.reported_at = now
+        used = dict(status.team_requests)
+        rates = {team: (n - self.used.get(team, 0.0)) / elapsed for team, n in used.items()}
+        self.used = used
+        return rates
+
+    def _drop_peers(self) -> None:
+        """End connections to members that are dead."""
+        dead = {
+            member.address
+            for member in self.membership.members()
+            if member.state is wire.MemberState.DEAD
+        }
+        for address in dead & set(self.peers):
+            self.peers.pop(address).close()
+
+    # Sending
+
+    def _send_all(self, outgoing: list[membership.Outgoing]) -> None:
+        for item in outgoing:
+            self._send(item.address, item.message)
+
+    def _send(self, address: str, message) -> None:
+        if address not in self.peers:
+            self.peers[address] = Peer(address, self.meters)
+        key = self.settings.mesh_keys[0].encode()
+        self.peers[address].send(signing.seal(wire.encode(message), key))
--- a/bronzemux/resume_token.py
+++ b/bronzemux/resume_token.py
@@ -3,14 +3,11 @@
 import base64
 import binascii
 import dataclasses
-import hashlib
-import hmac
 
 import cbor2
 
-from bronzemux import errors
+from bronzemux import errors, signing
 
-MAC_BYTES = 16
 MAX_TOKEN_LENGTH = 1000
 LIFETIME_SECONDS = 600
 
@@ -46,7 +43,7 @@
       key: Key that all routers share.
     """
     payload = cbor2.dumps(dataclasses.astuple(token))
-    return base64.urlsafe_b64encode(_code(payload, key) + payload).decode()
+    return base64.urlsafe_b64encode(signing.seal(payload, key)).decode()
 
 
 def verify(text: str, key_ring: tuple[bytes, ...], now: float) -> Token:
@@ -60,11 +57,10 @@
     Raises:
       errors.InvalidRequestError: When it is not genuine or too old.
     """
-    raw = _decode(text)
-    code, payload = raw[:MAC_BYTES], raw[MAC_BYTES:]
-    matches = [hmac.compare_digest(code, _code(payload, key)) for key in key_ring]
-    if not any(matches):
-        raise _invalid("it is not genuine")
+    try:
+        payload = signing.unseal(_decode(text), key_ring)
+    except signing.SignatureError as error:
+        raise _invalid("it is not genuine") from error
     token = Token(*cbor2.loads(payload))
     if now - token.issued > LIFETIME_SECONDS:
         raise _invalid("it is too old")
@@ -80,10 +76,6 @@
         raise _invalid("it is not base64") from error
 
 
-def _code(payload: bytes, key: bytes) -> bytes:
-    return hmac.new(key, payload, hashlib.sha256).digest()[:MAC_BYTES]
-
-
 def _invalid(reason: str) -> errors.InvalidRequestError:
     return errors.InvalidRequestError(
         f"the resume token is refused: {reason}", "send the request again if it is idempotent"
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -12,6 +12,7 @@
     http_client,
     http_server,
     logs,
+    mesh,
     messages,
     metrics,
     objects,
@@ -21,6 +22,7 @@
     vms,
     watcher,
     web,
+    wire,
 )
 from bronzemux import clock as clocks
 from bronzemux import snapshot as snapshots
@@ -84,7 +86,18 @@
     def _build_tasks(self) -> None:
         name = self.settings.name
         self.dispatcher = dispatcher.Dispatcher(
-            dispatcher.DispatcherSettings(self.settings.data_centre), self.clock, self.meters
+            dispatcher.DispatcherSettings(self.settings.data_centre),
+            self.clock,
+            self.meters,
+            lambda fingerprints: self.mesh.send(mesh.Condemn(fingerprints)),
+        )
+        self.mesh = mesh.Mesh(
+            self.settings,
+            self.clock,
+            self.meters,
+            self.dispatcher,
+            lambda head: self.config_watcher.send(head),
+            self._publish_members,
         )
         self.committer = claims.Committer(self.table, self.clock, self.meters)
         self.settler = claims.Settler(self.committer, self.clock)
@@ -113,7 +126,7 @@
             config_store=store,
             claims=self.claims,
             engine_of=self.engines,
-            members=lambda: [],
+            members=self._describe_members,
         )
 
     # Life
@@ -125,6 +138,7 @@
             self.committer,
             self.settler,
             self.watchers,
+            self.mesh,
             self.config_watcher,
             self.vm_watcher,
         )
@@ -145,6 +159,7 @@
           Number of requests that were still running at the limit.
         """
         self.status.is_draining = True
+        self.mesh.send(mesh.Drain())
         logs.event("router_draining", router=self.settings.name, in_flight=self.status.in_flight)
         limit = self.clock.monotonic() + self.settings.drain_seconds
         while self.status.in_flight and self.clock.monotonic() < limit:
@@ -164,18 +179,41 @@
 
     # Changes
 
-    def _publish_snapshot(self, snapshot: snapshots.Snapshot) -> None:
+    def _publish_snapshot(self, snapshot: snapshots.Snapshot, head: config_store.Head) -> None:
         self.status.snapshot = snapshot
         self.dispatcher.send(messages.SnapshotChanged(snapshot))
+        self.mesh.send(mesh.Publish(head))
         self._update_watchers(snapshot.config)
         self._publish_leaving()
 
     def _publish_vms(self, listed: tuple[vms.Vm, ...]) -> None:
         self.status.listed = listed
-        routers = sum(1 for vm in listed if vm.role == "router" and not vm.is_leaving)
-        self.dispatcher.send(messages.PeerCount(max(1, routers)))
+        self.mesh.send(mesh.Listed(listed))
         self._publish_leaving()
 
+    def _publish_members(self, members: list[wire.Member]) -> None:
+        away = [m for m in members if m.is_draining or m.state is wire.MemberState.DEAD]
+        self.status.dead_routers = frozenset(member.name for member in away)
+        self.config_watcher.is_relay = self.mesh.membership.is_relay()
+        for state in wire.MemberState:
+            count = sum(member.state is state for member in members)
+            self.meters.members.labels(state.name.lower()).set(count)
+
+    def _describe_members(self) -> list[dict]:
+        versions = self.mesh.membership.known_versions
+        own = self.mesh.membership.config_version
+        return [
+            {
+                "name": member.name,
+                "data_centre": member.data_centre,
+                "address": member.address,
+                "state": member.state.name.lower(),
+                "is_draining": member.is_draining,
+                "version": own if not position else versions.get(member.address, 0),
+            }
+            for position, member in enumerate(self.mesh.membership.members())
+        ]
+
     def _publish_leaving(self) -> None:
         if self.status.snapshot is not None:
             names = watcher.leaving_endpoints(self.status.snapshot.config, self.status.listed)
--- a/bronzemux/settings.py
+++ b/bronzemux/settings.py
@@ -26,6 +26,7 @@
       platform_host: IP number of the platform's services.
       platform_port: TCP port of the platform's services.
       mesh_keys: Shared keys between routers; the first one signs, all are accepted.
+      peers: IP number and port of routers to ask when the platform is down.
       max_body_bytes: Longest accepted body.
       body_seconds: Time for a body to arrive.
       drain_seconds: Time for requests to end after a stop signal.
@@ -41,6 +42,7 @@
     platform_host: str = "127.0.0.1"
     platform_port: int = 7000
     mesh_keys: tuple[str, ...] = (DEFAULT_MESH_KEY,)
+    peers: tuple[str, ...] = ()
     max_body_bytes: int = 8 * 1024 * 1024
     body_seconds: float = 15.0
     drain_seconds: float = 60.0
--- a/bronzemux/watcher.py
+++ b/bronzemux/watcher.py
@@ -85,7 +85,7 @@
     Args:
       store: Configuration store.
       clock: Source of time.
-      publish: Called with each new snapshot.
+      publish: Called with each new snapshot and its head.
       meters: Metrics of the router.
       seed: Seed of the jitter.
     """
@@ -136,7 +136,7 @@
             logs.failure("config_rejected", error, version=head.version)
             return False
         self.head = head
-        self.publish(snapshot)
+        self.publish(snapshot, head)
         self.meters.config_version.set(head.version)
         logs.event("config_in_force", version=head.version, preset=snapshot.preset.name)
         return True
--- /dev/null
+++ b/features/steps/mesh_steps.py
@@ -0,0 +1,222 @@
+"""Steps of mesh.feature."""
+
+import gevent
+from behave import given, then, when
+
+from bronzemux import clock, config_edit, config_store, errors, porcelain, standin_engine
+from features import support
+from features.steps import callers_steps, streams_steps
+
+BROKEN = "this is not TOML ["
+
+
+@given('a development deployment "{name}" with {count:d} routers')
+def step_deployment(context, name, count):
+    support.start_development(context, name, routers=count)
+    context.answers = []
+
+
+def store(context) -> config_store.ConfigStore:
+    """Return the configuration store of the platform's table service."""
+    return config_store.ConfigStore(context.deployment.platform.table, clock.SystemClock())
+
+
+@when('preset "{preset}" is put in force at the table service')
+def step_preset(context, preset):
+    porcelain.use_preset(store(context), preset, None, "test")
+
+
+@when('preset "{preset}" is accepted and only router 1 learns of it before the platform goes down')
+def step_partial(context, preset):
+    context.deployment.platform.faults.is_down = True
+    porcelain.use_preset(store(context), preset, None, "test")
+    head = store(context).read()
+    context.deployment.routers[0].config_watcher.send(head)
+
+
+@when("the platform goes down")
+def step_down(context):
+    streams_steps.wait_for(
+        lambda: all(r.status.snapshot.version == 2 for r in context.deployment.routers)
+    )
+    context.deployment.platform.faults.is_down = True
+
+
+def replace(context, position: int) -> None:
+    """Replace a router by a new one on the same port."""
+    deployment = context.deployment
+    if deployment.routers[position].server.started:
+        deployment.crash_router(position)
+    deployment.start_router(position)
+
+
+@when("router {number:d} is replaced")
+def step_replace(context, number):
+    replace(context, number - 1)
+    wait_for_endpoints(context, number - 1)
+
+
+def wait_for_endpoints(context, position: int) -> None:
+    """Wait until a router has seen all engines."""
+    streams_steps.wait_for(
+        lambda: context.deployment.is_ready(context.deployment.routers[position])
+    )
+
+
+@when("all routers are replaced")
+def step_replace_all(context):
+    for position in range(len(context.deployment.routers)):
+        context.deployment.crash_router(position)
+    for position in range(len(context.deployment.routers)):
+        context.deployment.start_router(position)
+    context.deployment.wait_ready()
+
+
+@when("router 1 is offered version 1 again")
+def step_offer_old(context):
+    head = store(context).version(1)
+    context.deployment.routers[0].config_watcher.send(head)
+    gevent.sleep(0.1)
+
+
+@when("a broken document is written as version 2 past all checks")
+def step_broken(context):
+    head = config_store.Head(2, BROKEN, "broken", "test", "now", "broken")
+    context.deployment.platform.table.transact(config_store.head_writes(head))
+
+
+@when("{seconds:d} real seconds pass")
+def step_real(context, seconds):
+    gevent.sleep(seconds)
+
+
+@when('preset "{preset}" is put in force at the table service after version 2')
+def step_after_broken(context, preset):
+    text = config_edit.edit(store(context).version(1).text, config_edit.use_preset(preset))
+    store(context).apply(config_store.Change(2, text, "test", "repair"))
+
+
+def located(context) -> list:
+    """Return the routers that locate names."""
+    address = support.router_address(context.deployment)
+    return support.send(address, "GET", "/v1/locate?all=true").json()["routers"]
+
+
+@then("locate names {count:d} routers")
+def step_located(context, count):
+    streams_steps.wait_for(lambda: len(located(context)) == count)
+
+
+@when("a stream of {count:d} words runs through router {number:d} and router {number:d} is stopped")
+def step_stop(context, count, number):
+    client = support.openai_client(context.deployment, "caseworkers", number - 1)
+    model = context.deployment.document.models[0].name
+    stream = gevent.spawn(support.stream_text, client, model, "short", "question", count)
+    gevent.sleep(0.3)
+    context.left = context.deployment.routers[number - 1].stop()
+    context.answers.append(stream.get())
+
+
+@then("the stream is one whole answer of {count:d} words")
+def step_stream_whole(context, count):
+    assert standin_engine.is_whole_answer(context.answers[-1][0], count), context.answers
+
+
+@then("router {number:d} left {count:d} requests")
+def step_left(context, number, count):
+    assert context.left == count
+
+
+@then('every router refuses the poison text of team "{team}"')
+def step_refuse_everywhere(context, team):
+    key = context.deployment.key(team)
+    body = callers_steps.chat(messages=[{"role": "user", "content": context.poison}])
+
+    def know() -> bool:
+        found = [r.dispatcher.quarantine.condemned for r in context.deployment.routers]
+        return all(found)
+
+    streams_steps.wait_for(know)
+    for position in range(len(context.deployment.routers)):
+        address = support.router_address(context.deployment, position)
+        reply = support.send(address, "POST", callers_steps.CHAT, key, body)
+        assert reply.json()["error"]["type"] == "request_quarantined", reply
+
+
+@when('the VM list says that "{name}" is leaving')
+def step_leaving(context, name):
+    context.status, context.output = 0, ""
+    context.deployment.platform.vms.set_leaving(name)
+
+
+@given('team "{team}" may send {count:d} requests a second')
+def step_limit(context, team, count):
+    def change(document) -> None:
+        config_edit.set_limits(team, support.limits(count))(document)
+
+    porcelain.edit_config(store(context), change, "test", "limits")
+    streams_steps.wait_for(
+        lambda: all(r.status.snapshot.version == 2 for r in context.deployment.routers)
+    )
+
+
+@when('team "{team}" sends {rate:d} requests a second for {seconds:d} seconds through all routers')
+def step_rate(context, team, rate, seconds):
+    key = context.deployment.key(team)
+    jobs = []
+    for number in range(rate * seconds):
+        address = support.router_address(context.deployment, number % 3)
+        jobs.append(
+            gevent.spawn(
+                support.send, address, "POST", callers_steps.CHAT, key, callers_steps.chat()
+            )
+        )
+        gevent.sleep(1 / rate)
+    gevent.joinall(jobs, raise_error=True)
+    context.statuses = [job.value.status for job in jobs]
+    assert set(context.statuses) <= {200, 429}, set(context.statuses)
+
+
+@then("at most {count:d} of them were answered")
+def step_at_most(context, count):
+    assert context.statuses.count(200) <= count, context.statuses.count(200)
+
+
+@then("at least {count:d} of them were answered")
+def step_at_least(context, count):
+    assert context.statuses.count(200) >= count, context.statuses.count(200)
+
+
+def try_change(context, name: str):
+    """Change version 1 through the platform's interface as an operator."""
+    access = config_store.ConfigStore(support.http_table(context.deployment), clock.SystemClock())
+    text = context.deployment.text + f"\n# changed by {name}\n"
+    change = config_store.Change(1, text, name, f"change of {name}", f"id-{name}")
+    try:
+        return change, access.apply(change)
+    except errors.ConfigConflictError as error:
+        return change, error
+
+
+@when("two operators change version 1 at once and {answers}")
+def step_race(context, answers):
+    if "lost" in answers:
+        context.deployment.platform.faults.lost_answers = 1
+    jobs = [gevent.spawn(try_change, context, name) for name in ("one", "two")]
+    gevent.joinall(jobs, raise_error=True)
+    context.results = [job.value for job in jobs]
+
+
+@then("one change is accepted and the other gets a conflict that names the winner")
+def step_one_winner(context):
+    heads = [r for _, r in context.results if isinstance(r, config_store.Head)]
+    conflicts = [r for _, r in context.results if isinstance(r, errors.ConfigConflictError)]
+    assert len(heads) == 1 and len(conflicts) == 1, context.results
+    assert heads[0].operator in str(conflicts[0]), conflicts[0]
+
+
+@then("a repeat of the accepted change returns version {version:d}")
+def step_repeat(context, version):
+    change = next(c for c, r in context.results if isinstance(r, config_store.Head))
+    access = config_store.ConfigStore(support.http_table(context.deployment), clock.SystemClock())
+    assert access.apply(change).version == version
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -91,7 +91,7 @@
     return owner.dispatcher.fleet.is_available(state, owner.clock.monotonic())
 
 
-def wait_for(condition, seconds: float = 5.0) -> None:
+def wait_for(condition, seconds: float = 30.0) -> None:
     """Wait until a condition holds."""
     with gevent.Timeout(seconds):
         while not condition():
--- a/features/support.py
+++ b/features/support.py
@@ -6,7 +6,7 @@
 
 import openai
 
-from bronzemux import clock, config, development, http_client
+from bronzemux import clock, config, development, http_client, table
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 LONG_TEXT = "The statute says that every agency replies within ten days. " * 700
@@ -100,3 +100,13 @@
 def first_team(document: config.Config) -> str:
     """Return the name of the first team."""
     return document.teams[0].name
+
+
+def limits(requests_per_second: float) -> config.Limits:
+    """Return limits that only count requests."""
+    return config.Limits(requests_per_second, 1e9, 10_000)
+
+
+def http_table(deployment) -> table.HttpTable:
+    """Return a client of a deployment's table service."""
+    return table.HttpTable(http_client.ServiceSettings("127.0.0.1", deployment.platform.port))
