Measure slopes; keep the fleet's view between decisions; read only a version when polling

Cause: the first slopes showed 316 us for a view of 313 endpoints beside 57 us for the decision, up to 5.9 KB/s of membership messages at 810 members while news spread, and polls of the configuration that would read the whole document (1.7 MB at 13,000 teams).

--- a/bronzemux/cli_load.py
+++ b/bronzemux/cli_load.py
@@ -32,6 +32,8 @@
 flags.DEFINE_float("seconds", 0.0, "Length of the run; 0 takes the traffic file's.", lower_bound=0)
 flags.DEFINE_integer("requests", 200, "Requests of each kind for `overhead`.", lower_bound=1)
 flags.DEFINE_integer("parts", 200, "Words of each answer for `overhead`.", lower_bound=2)
+flags.DEFINE_boolean("events", True, "Whether replayed endpoints publish cache events.")
+flags.DEFINE_float("report_seconds", 0.25, "Time between replayed load reports.", lower_bound=0.01)
 flags.DEFINE_string("json", "", "File for the figures as JSON.")
 flags.DEFINE_string("plot", "", "File for a plot; needs the plot extra.")
 flags.DEFINE_string("key", development.DEMONSTRATION_KEY, "Pattern of the teams' keys.")
@@ -83,7 +85,10 @@
     if unknown:
         known = ", ".join(replay.POLICIES)
         settings.fail(f"--policies={','.join(unknown)}: unknown; use some of {known}")
-    runs = [replay.Replay(plan, document, replay.POLICIES[name]) for name in FLAGS.policies]
+    feedback = replay.Feedback(FLAGS.report_seconds, FLAGS.events)
+    runs = [
+        replay.Replay(plan, document, replay.POLICIES[name], feedback) for name in FLAGS.policies
+    ]
     summaries = [run.run() for run in runs]
     print(f"{plan.deployment}: {plan.requests_per_second:g}/s for {plan.duration_seconds:g} s")
     print(reports.table(summaries))
@@ -123,7 +128,7 @@
 
 def run_slopes() -> None:
     """Measure slopes and print them as a table."""
-    print(slopes.table(slopes.measure()))
+    print("\n".join(slopes.table_lines(list(slopes.measure()))))
 
 
 if __name__ == "__main__":
--- a/bronzemux/config_store.py
+++ b/bronzemux/config_store.py
@@ -1,4 +1,8 @@
-"""Configuration head in the table service: one row, changed by compare-and-set."""
+"""Configuration in the table service: a small head row, changed by compare-and-set.
+
+The head row holds the version alone, so that watchers read little; the documents stand in one row
+for each accepted version.
+"""
 
 import dataclasses
 import datetime
@@ -125,14 +129,23 @@
         self.service = service
         self.clock = clock
 
+    def newest_version(self) -> int:
+        """Return the version of the head, 0 before the first configuration.
+
+        Raises:
+          errors.PlatformUnavailableError: When the service gave no answer.
+        """
+        row = self.service.read([HEAD_KEY])[0]
+        return cbor2.loads(row.value) if row else 0
+
     def read(self) -> Head | None:
         """Return the head, None before the first configuration.
 
         Raises:
           errors.PlatformUnavailableError: When the service gave no answer.
         """
-        row = self.service.read([HEAD_KEY])[0]
-        return decode(row.value) if row else None
+        version = self.newest_version()
+        return self.version(version) if version else None
 
     def history(self, limit: int = MAX_HISTORY) -> list[Head]:
         """Return accepted configurations, the newest first.
@@ -217,6 +230,6 @@
     """Return the writes that make a head the accepted one."""
     content = encode(head)
     return [
-        table.Write(HEAD_KEY, head.version - 1, content),
+        table.Write(HEAD_KEY, head.version - 1, cbor2.dumps(head.version)),
         table.Write(history_key(head.version), table.ABSENT, content),
     ]
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -166,7 +166,7 @@
         now = self.clock.monotonic()
         self._see_incarnation(name, message.state.load.incarnation)
         self.fleet.take_load_report(message.state.load, now)
-        self.fleet.states[name].weights = dict(message.state.weights)
+        self.fleet.set_weights(name, dict(message.state.weights))
         if message.has_gap:
             self.meters.event_gaps.inc()
             self.fleet.doubt(name)
@@ -192,8 +192,7 @@
 
     @handle.register
     def _leaving(self, message: messages.LeavingEndpoints) -> None:
-        for name, state in self.fleet.states.items():
-            state.leaving = name in message.names
+        self.fleet.set_leaving(message.names)
 
     @handle.register
     def _condemned(self, message: messages.Condemned) -> None:
@@ -309,6 +308,8 @@
         while len(self.queue):
             now = self.clock.monotonic()
             view = self.fleet.view(now, self.peers, self.preferences.counts)
+            if not (view.available & (view.room > 0)).any():
+                return
             chosen: list[routing.Choice] = []
             ticket = self.queue.pop_first(functools.partial(self._accept, view, chosen))
             if ticket is None:
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -17,6 +17,8 @@
 EJECTION_SECONDS = 2.0
 MAX_EJECTION_SECONDS = 30.0
 SLOW_START_FLOOR = 0.1
+VIEW_SECONDS = 0.1
+VIEW_ROWS = 9
 GAP_DISCOUNT = 0.95
 DOUBT = 0.8
 ROOM_FACTOR = 3.0
@@ -88,6 +90,12 @@
         self.names: tuple[str, ...] = ()
         self.seeds = np.array([], dtype=np.uint64)
         self.weights = np.array([])
+        self.positions: dict[str, int] = {}
+        self.rows = np.zeros((VIEW_ROWS, 0))
+        self.dirty: set[str] = set()
+        self.view_peers = 0
+        self.viewed_at = -1e9
+        self.masks: dict[tuple[str, str, str], np.ndarray] = {}
 
     def apply(self, snapshot: config.Config, preset: config.Preset) -> tuple[str, ...]:
         """Take over the endpoints of a configuration.
@@ -111,6 +119,10 @@
         seeds = [routing.endpoint_seed(name) for name in self.names]
         self.seeds = np.array(seeds, dtype=np.uint64)
         self.weights = np.array([_weight(state.endpoint) for state in self.states.values()])
+        self.positions = {name: position for position, name in enumerate(self.names)}
+        self.rows = np.zeros((VIEW_ROWS, len(self.names)))
+        self.dirty = set(self.states)
+        self.masks.clear()
         return gone
 
     def _adopt(self, name: str, endpoint: config.Endpoint) -> None:
@@ -142,7 +154,7 @@
         Returns:
           Whether the endpoint turned out to be a new incarnation.
         """
-        state = self.states.get(report.endpoint)
+        state = self.touch(report.endpoint)
         if state is None:
             return False
         is_new = self.see_incarnation(report.endpoint, report.incarnation, now)
@@ -162,7 +174,7 @@
         Returns:
           Whether it replaced an earlier incarnation, whose cache is gone.
         """
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is None or state.incarnation == incarnation:
             return False
         is_restart = state.incarnation != ""
@@ -177,27 +189,27 @@
 
     def start_work(self, name: str, tokens: int) -> None:
         """Count a request that is sent to an endpoint."""
-        state = self.states[name]
+        state = self.touch(name)
         state.in_flight += 1
         state.prefilling += 1
         state.outstanding_tokens += tokens
 
     def prefill_done(self, name: str, tokens: int) -> None:
         """Count a prompt as computed, once for each `start_work`."""
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is not None:
             state.prefilling = max(0, state.prefilling - 1)
             state.outstanding_tokens = max(0, state.outstanding_tokens - tokens)
 
     def end_work(self, name: str) -> None:
         """Count a request as ended."""
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is not None:
             state.in_flight = max(0, state.in_flight - 1)
 
     def succeed(self, name: str) -> None:
         """Record a success; it ends the ejection."""
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is not None:
             state.failures = 0
             state.ejected_until = 0.0
@@ -214,7 +226,7 @@
         Returns:
           Whether the endpoint was ejected.
         """
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is None:
             return False
         state.failures += 1
@@ -233,7 +245,7 @@
 
     def learn_reuse(self, name: str, predicted_tokens: int, cached_tokens: int) -> None:
         """Adjust the confidence in predicted reuse from an answer's ``cached_tokens``."""
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is None or predicted_tokens <= 0:
             return
         share = min(1.0, cached_tokens / predicted_tokens)
@@ -248,7 +260,7 @@
           expected: Seconds that were expected when the request was assigned.
           seconds: Seconds that it took.
         """
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is None:
             return
         ratio = (seconds + SLOWNESS_FLOOR_SECONDS) / (expected + SLOWNESS_FLOOR_SECONDS)
@@ -257,7 +269,7 @@
 
     def learn_service(self, name: str, seconds: float) -> None:
         """Adjust the mean time that a request keeps a slot of an endpoint."""
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is not None:
             state.service_seconds += SERVICE_EWMA_WEIGHT * (seconds - state.service_seconds)
 
@@ -268,33 +280,69 @@
     def view(self, now: float, peers: int, queued: dict[str, int]) -> routing.FleetView:
         """Return an immutable view for one decision.
 
+        Rows of endpoints that did not change are kept for `VIEW_SECONDS`.
+
         Args:
           now: Monotonic seconds.
           peers: Number of routers that share the endpoints.
           queued: Requests of this router that wait for a slot, by endpoint.
         """
-        states = list(self.states.values())
-        rate = np.array([state.rate for state in states])
-        capacity = np.array([self._capacity(state, now, peers) for state in states])
-        in_flight = np.array([state.in_flight for state in states])
-        ahead = np.array([queued.get(name, 0) for name in self.names])
-        room = np.maximum(0, capacity - in_flight - ahead)
-        turn = np.array([state.service_seconds for state in states]) / np.maximum(1, capacity)
+        if peers != self.view_peers or now - self.viewed_at > VIEW_SECONDS:
+            self.dirty = set(self.states)
+            self.view_peers = peers
+            self.viewed_at = now
+        if self.dirty:
+            self.rows = self.rows.copy()
+            for name in self.dirty:
+                self.rows[:, self.positions[name]] = self._row(self.states[name], now, peers)
+            self.dirty = set()
+        rate, wait, turn, capacity, in_flight, waiting, available, confidence, remote = self.rows
+        ahead = self._ahead(queued)
+        free = capacity - in_flight
         return routing.FleetView(
             names=self.names,
             seeds=self.seeds,
             weights=self.weights,
             rate=rate,
-            wait=np.array([self._backlog(state, now) for state in states]) / rate,
-            slot_wait=np.where(room > 0, 0.0, turn * (ahead + 1)),
-            queue=ahead + np.array([state.prefilling + state.others_waiting for state in states]),
-            room=np.maximum(0, capacity - in_flight),
-            available=np.array([self.is_available(state, now) for state in states], dtype=bool),
-            confidence=np.array([state.confidence for state in states]),
-            remote=np.array([state.endpoint.data_centre != self.data_centre for state in states]),
+            wait=wait,
+            slot_wait=np.where(free - ahead > 0, 0.0, turn * (ahead + 1)),
+            queue=ahead + waiting,
+            room=np.maximum(0, free),
+            available=available > 0,
+            confidence=confidence,
+            remote=remote,
             now=now,
         )
 
+    def _ahead(self, queued: dict[str, int]) -> np.ndarray:
+        result = np.zeros(len(self.names))
+        for name, count in queued.items():
+            if count and name in self.positions:
+                result[self.positions[name]] = count
+        return result
+
+    def _row(self, state: EndpointState, now: float, peers: int) -> tuple[float, ...]:
+        """Return the column of one endpoint in `rows`."""
+        capacity = self._capacity(state, now, peers)
+        return (
+            state.rate,
+            self._backlog(state, now) / state.rate,
+            state.service_seconds / capacity,
+            capacity,
+            state.in_flight,
+            state.prefilling + state.others_waiting,
+            self.is_available(state, now),
+            state.confidence,
+            state.endpoint.data_centre != self.data_centre,
+        )
+
+    def touch(self, name: str) -> EndpointState | None:
+        """Return the state of an endpoint that is about to change, None when it is unknown."""
+        state = self.states.get(name)
+        if state is not None:
+            self.dirty.add(name)
+        return state
+
     def _backlog(self, state: EndpointState, now: float) -> float:
         """Return prompt tokens ahead of a new request: own ones and those of other routers."""
         if state.report is None or now - state.reported_at > LOAD_REPORT_MAX_AGE_SECONDS:
@@ -331,28 +379,45 @@
         Returns:
           Boolean array, one element an endpoint.
         """
-        return np.array(
-            [
-                name not in excluded
-                and (model in state.endpoint.models or service in state.endpoint.services)
-                and state.weights.get(model, version) == version
-                for name, state in self.states.items()
-            ],
-            dtype=bool,
-        )
+        key = (model, service, version)
+        if key not in self.masks:
+            serving = [self._serves(state, *key) for state in self.states.values()]
+            self.masks[key] = np.array(serving, dtype=bool)
+        mask = self.masks[key]
+        if not excluded:
+            return mask
+        return mask & np.array([name not in excluded for name in self.names], dtype=bool)
+
+    def _serves(self, state: EndpointState, model: str, service: str, version: str) -> bool:
+        endpoint = state.endpoint
+        is_listed = model in endpoint.models or service in endpoint.services
+        return is_listed and state.weights.get(model, version) == version
+
+    def set_weights(self, name: str, weights: dict[str, str]) -> None:
+        """Record the weights versions that an endpoint reports."""
+        state = self.states.get(name)
+        if state is not None and state.weights != weights:
+            state.weights = weights
+            self.masks.clear()
+
+    def set_leaving(self, names: frozenset[str]) -> None:
+        """Record which endpoints the platform is about to take away."""
+        for name, state in self.states.items():
+            if state.leaving != (name in names):
+                self.touch(name).leaving = name in names
 
     def doubt(self, name: str) -> None:
         """Trust predicted reuse a little less after cache events were lost.
 
         Gaps alone do not lower the confidence below `DOUBT`: what answers report decides.
         """
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is not None:
             state.confidence = min(state.confidence, max(DOUBT, state.confidence * GAP_DISCOUNT))
 
     def revive(self, name: str) -> None:
         """Record that an endpoint answers its watcher, which ends an ejection as dead."""
-        state = self.states.get(name)
+        state = self.touch(name)
         if state is not None and state.is_dead:
             state.is_dead = False
             state.failures = 0
--- a/bronzemux/replay.py
+++ b/bronzemux/replay.py
@@ -93,6 +93,19 @@
         return max(0, self.attempts - self.answered - self.failed) / max(1, self.requests)
 
 
+@dataclasses.dataclass(frozen=True)
+class Feedback:
+    """What routers learn from endpoints beside answers.
+
+    Attributes:
+      report_seconds: Time between reports of load.
+      has_events: Whether reports carry cache events.
+    """
+
+    report_seconds: float = REPORT_SECONDS
+    has_events: bool = True
+
+
 class Recorder:
     """Collects the figures of one phase.
 
@@ -309,13 +322,21 @@
       plan: The traffic.
       document: Configuration with the endpoints' sizes.
       policy: Returns a policy for each router.
+      feedback: What the routers learn from endpoints beside answers.
     """
 
-    def __init__(self, plan: traffic.Traffic, document: config.Config, policy: Callable):
+    def __init__(
+        self,
+        plan: traffic.Traffic,
+        document: config.Config,
+        policy: Callable,
+        feedback: Feedback = Feedback(),  # noqa: B008 - frozen
+    ):
         self.plan = plan
         self.document = document
         self.snapshot = snapshots.build(1, document)
         self.policy = policy
+        self.feedback = feedback
         self.clock = clocks.FakeClock()
         self.random = random.Random(plan.seed + 1)
         self.queue: list[tuple[float, int, Callable, tuple]] = []
@@ -361,7 +382,7 @@
         for fault in self.plan.faults:
             self.after(fault.at_seconds, self._fault, fault)
         for item in self.engines.values():
-            self.after(self.random.random() * REPORT_SECONDS, self._report, item)
+            self.after(self.random.random() * self.feedback.report_seconds, self._report, item)
         self.after(TICK_SECONDS, self._tick)
         while self.queue:
             at, _, function, args = heapq.heappop(self.queue)
@@ -388,11 +409,14 @@
 
     def _report(self, item: FakeEngine) -> None:
         if not self._is_over():
-            self.after(REPORT_SECONDS, self._report, item)
+            self.after(self.feedback.report_seconds, self._report, item)
         if not item.is_up:
             self.after(REPORT_LAG_SECONDS, self._send, messages.EndpointDown(item.endpoint.name), 0)
             return
         state = item.report()
+        if not self.feedback.has_events:
+            none = dataclasses.replace(state.events, stored=(), evicted=())
+            state = dataclasses.replace(state, events=none)
         self.after(REPORT_LAG_SECONDS, self._deliver, item.endpoint.name, state)
 
     def _deliver(self, name: str, state: engine.EngineState) -> None:
--- a/bronzemux/watcher.py
+++ b/bronzemux/watcher.py
@@ -109,12 +109,12 @@
         """Read the head from the platform."""
         period = CONFIG_SECONDS if self.is_relay else CONFIG_SLOW_SECONDS
         try:
-            head = self.store.read()
+            newest = self.store.newest_version()
+            if newest > max(self.version, self.rejected):
+                self.offer(self.store.version(newest))
             self.backoff = period
             self.meters.platform_calls.labels("config", "ok").inc()
-            if head is not None:
-                self.offer(head)
-        except errors.PlatformError as error:
+        except (errors.PlatformError, errors.NotFoundError) as error:
             self.backoff = min(BACKOFF_LIMIT_SECONDS, max(period, self.backoff * 2))
             self.meters.platform_calls.labels("config", "error").inc()
             logs.event("config_read_failed", "debug", cause=error.message)
