--- a/bronzemux/claims.py
+++ b/bronzemux/claims.py
@@ -46,7 +46,7 @@
     """Settings of claims.
 
     Attributes:
-      router: Name of this router.
+      router: Identity of this router's process.
       answer_seconds: How long answers are kept.
       running_seconds: Longest run; a claim that is started for longer has an unknown outcome.
     """
@@ -377,9 +377,20 @@
       settler: Task that repeats writes.
       clock: Source of time.
       meters: Metrics of the router.
+      is_holder_gone: Returns whether the process of an identity is known to have ended.
     """
 
-    def __init__(self, settings, service, store, committer, settler, clock, meters):
+    def __init__(
+        self,
+        settings,
+        service,
+        store,
+        committer,
+        settler,
+        clock,
+        meters,
+        is_holder_gone=lambda holder: False,
+    ):
         self.settings: ClaimSettings = settings
         self.service: table.TableService = service
         self.store: objects.ObjectStore = store
@@ -387,6 +398,7 @@
         self.settler: Settler = settler
         self.clock: clocks.Clock = clock
         self.meters: metrics.Metrics = meters
+        self.is_holder_gone = is_holder_gone
 
     def begin(self, team: str, key: str, content: str) -> Claim | StoredAnswer:
         """Claim a request before it runs.
@@ -456,7 +468,7 @@
           errors.UnavailableError: When the answer cannot be read now.
         """
         age = self._now() - claim.since
-        if claim.state is State.STARTED and age <= self.settings.running_seconds:
+        if self.is_running(claim):
             raise errors.InProgressError(
                 "the request with this key is running",
                 "ask again after Retry-After",
@@ -474,6 +486,12 @@
         self.meters.claims.labels("repeated").inc()
         return claim.answer or self._load(claim)
 
+    def is_running(self, claim: Claim) -> bool:
+        """Return whether the request of a claim may still bring its answer."""
+        is_young = self._now() - claim.since <= self.settings.running_seconds
+        is_started = claim.state is State.STARTED
+        return is_started and is_young and not self.is_holder_gone(claim.router)
+
     def _load(self, claim: Claim) -> StoredAnswer:
         try:
             content = self.store.get(claim.answer_object)
--- a/bronzemux/mesh.py
+++ b/bronzemux/mesh.py
@@ -154,8 +154,8 @@
         self.server: websocket_server.Server | None = None
         self._listen()
         address = f"{settings.host}:{self.port}"
-        started = int(clock.now().timestamp())
-        own = wire.Member(settings.name, settings.data_centre, address, started)
+        boot = int(clock.now().timestamp() * 1000)
+        own = wire.Member(settings.name, settings.data_centre, address, boot, boot=boot)
         self.membership = membership.Membership(own, settings.name)
         self.configured = {f"seed-{a}": ("", a) for a in settings.peers if a != address}
         self.membership.seed(self.configured)
@@ -174,6 +174,27 @@
             max_size=wire.MAX_MESSAGE_BYTES,
         )
 
+    @property
+    def identity(self) -> str:
+        """Return the identity of this process, for claims and leases."""
+        return f"{self.settings.name}@{self.membership.own.boot}"
+
+    def is_holder_gone(self, holder: str) -> bool:
+        """Return whether the process of an identity is known to have ended.
+
+        Args:
+          holder: `identity` of some router.
+        """
+        name, _, boot = holder.rpartition("@")
+        if holder == self.identity:
+            return False
+        if name == self.settings.name:
+            return True
+        entry = self.membership.entries.get(name)
+        if entry is None:
+            return False
+        return entry.member.state is wire.MemberState.DEAD or str(entry.member.boot) != boot
+
     @property
     def address(self) -> str:
         """Return IP number and port for other routers."""
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -102,13 +102,14 @@
         self.committer = claims.Committer(self.table, self.clock, self.meters)
         self.settler = claims.Settler(self.committer, self.clock)
         self.claims = claims.Claims(
-            claims.ClaimSettings(name),
+            claims.ClaimSettings(self.mesh.identity),
             self.table,
             self.objects,
             self.committer,
             self.settler,
             self.clock,
             self.meters,
+            self.mesh.is_holder_gone,
         )
         store = config_store.ConfigStore(self.table, self.clock)
         self.config_watcher = watcher.ConfigWatcher(
--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -388,18 +388,26 @@
         return json.dumps(chunk | fields, ensure_ascii=False).encode()
 
     def _answer(self, environ, start_response, work: Work, offset: int):
-        request_id = work.request_id
         if self.faults.crossed_answers > 0:
             self.faults.crossed_answers -= 1
-            request_id = "crossed"
+            work = self._other_work(work)
         headers = [
             ("Content-Type", "text/event-stream"),
-            (engine_http.HEADER_REQUEST, request_id),
+            (engine_http.HEADER_REQUEST, work.request_id),
             (engine_http.HEADER_INCARNATION, self.incarnation),
         ]
         start_response("200 OK", headers)
         return self._events(environ, work, offset)
 
+    def _other_work(self, work: Work) -> Work:
+        """Return the work of another request, whose answer crosses this one's."""
+        others = [other for other in self.works.values() if other is not work]
+        if others:
+            return others[-1]
+        other = dataclasses.replace(work, request_id="crossed", parts=[])
+        other.append(engine.DONE)
+        return other
+
     def _events(self, environ, work: Work, offset: int) -> Iterator[bytes]:
         peer = (environ["REMOTE_ADDR"], int(environ["REMOTE_PORT"]))
         for number, chunk in enumerate(work.read(offset), offset):
--- a/bronzemux/wire.py
+++ b/bronzemux/wire.py
@@ -34,6 +34,7 @@
       incarnation: Number that only the member itself raises.
       state: State.
       is_draining: Whether it takes no new callers.
+      boot: Identity of its process: UTC milliseconds of its start.
     """
 
     name: str
@@ -42,6 +43,7 @@
     incarnation: int
     state: MemberState = MemberState.ALIVE
     is_draining: bool = False
+    boot: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -241,9 +243,10 @@
 
 
 def _member(fields) -> Member:
-    name, data_centre, address, incarnation, state, is_draining = fields
+    name, data_centre, address, incarnation, state, is_draining, boot = fields
     texts = [_typed(text, str) for text in (name, data_centre, address)]
-    return Member(*texts, _typed(incarnation, int), MemberState(state), bool(is_draining))
+    number = _typed(incarnation, int)
+    return Member(*texts, number, MemberState(state), bool(is_draining), _typed(boot, int))
 
 
 def _gossip(fields) -> Gossip:
