--- a/bronzemux/claims.py
+++ b/bronzemux/claims.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import enum
+import functools
 import hashlib
 import uuid
 
@@ -321,41 +322,73 @@
     claim: Claim
 
 
+@dataclasses.dataclass(frozen=True)
+class Withdraw:
+    """Ask for a claim to be released whose insertion may or may not have taken effect."""
+
+    claim: Claim
+
+
 class Settler(supervisor.Task):
     """Repeats the writes that move claims on, while the table service is out of reach.
 
     Args:
       committer: Task that writes.
+      service: Table service, for reads.
       clock: Source of time.
     """
 
-    def __init__(self, committer: Committer, clock: clocks.Clock):
+    def __init__(self, committer: Committer, service: table.TableService, clock: clocks.Clock):
         super().__init__("settler", clock, SETTLE_SECONDS)
         self.committer = committer
-        self.pending: collections.deque[Claim] = collections.deque(maxlen=MAX_PENDING)
+        self.service = service
+        self.pending: collections.deque[Settle | Withdraw] = collections.deque(maxlen=MAX_PENDING)
+
+    @functools.singledispatchmethod
+    def handle(self, message):
+        """Take a request in."""
+        return super().handle(message)
 
-    def handle(self, message: Settle) -> None:
-        """Take a claim in."""
-        self.pending.append(message.claim)
+    @handle.register(Settle)
+    @handle.register(Withdraw)
+    def _take(self, message: Settle | Withdraw) -> None:
+        self.pending.append(message)
 
     def tick(self) -> None:
         """Write what is pending until the service fails."""
         for _ in range(len(self.pending)):
-            claim = self.pending.popleft()
+            message = self.pending.popleft()
             try:
-                self._settle(claim)
+                self._carry_out(message)
             except errors.PlatformError:
-                self.pending.appendleft(claim)
+                self.pending.appendleft(message)
                 return
 
-    def _settle(self, claim: Claim) -> None:
-        verdict = self.committer.commit(_write_of(claim))
-        if verdict.is_written:
+    @functools.singledispatchmethod
+    def _carry_out(self, message) -> None:
+        raise TypeError(f"the settler does not handle {type(message).__name__}")
+
+    @_carry_out.register
+    def _settle(self, message: Settle) -> None:
+        verdict = self.committer.commit(_write_of(message.claim))
+        if not verdict.is_written:
+            logs.event("claim_superseded", "debug", row=message.claim.key)
+
+    @_carry_out.register
+    def _withdraw(self, message: Withdraw) -> None:
+        """Release the claim where it stands, or keep its delayed insertion from taking effect.
+
+        The row may be another request's with the same version, so its nonce decides.
+        """
+        claim = message.claim
+        row = self.service.read([claim.key])[0]
+        if row is not None and decode(row).nonce != claim.nonce:
             return
-        if verdict.row is None and claim.state is State.RELEASED:
-            self.committer.commit(_write_of(dataclasses.replace(claim, version=table.ABSENT + 1)))
-        elif verdict.row is not None and decode(verdict.row).nonce != claim.nonce:
-            logs.event("claim_superseded", "debug", row=claim.key)
+        version = row.version + 1 if row else table.ABSENT + 1
+        released = dataclasses.replace(claim, version=version, state=State.RELEASED)
+        verdict = self.committer.commit(_write_of(released))
+        if not verdict.is_written and row is None:
+            self.pending.append(message)
 
 
 def _write_of(claim: Claim) -> table.Write:
@@ -442,7 +475,7 @@
         except errors.PlatformError as error:
             self.meters.claims.labels("unavailable").inc()
             if isinstance(error, errors.AmbiguousWriteError):
-                self.release(claim)
+                self.settler.send(Withdraw(claim))
             raise errors.UnavailableError(
                 f"the claim could not be written: {error.message}",
                 "send again with the same Idempotency-Key after Retry-After",
--- a/bronzemux/cli_ctl.py
+++ b/bronzemux/cli_ctl.py
@@ -51,6 +51,7 @@
   endpoint list | drain NAME | undrain NAME
   vm drain NAME | undrain NAME
   team add NAME | rotate-key NAME | limits NAME
+  rollout start MODEL VERSION | pause MODEL | resume MODEL | stop MODEL | status
   members | status | key digest KEY
 see --help for flags and docs/OPERATING.md for examples
 """
@@ -191,6 +192,29 @@
     return porcelain.rotate_key(access(), team, FLAGS.operator)
 
 
+def start_rollout(model: str, version: str) -> porcelain.Result:
+    """Start a rollout."""
+    confirm(f"load {version} of {model} at all its endpoints")
+    return porcelain.start_rollout(access(), model, version, FLAGS.operator)
+
+
+def pause_rollout(is_paused: bool):
+    """Return the command that pauses or resumes a rollout."""
+    verb = "paused" if is_paused else "resumed"
+
+    def command(model: str) -> porcelain.Result:
+        change = config_edit.pause_rollout(model, is_paused)
+        return edit(change, f"rollout of {model} {verb}")
+
+    return command
+
+
+def stop_rollout(model: str) -> porcelain.Result:
+    """Stop a rollout; endpoints go back to the version in force."""
+    confirm(f"stop the rollout of {model}")
+    return edit(config_edit.set_rollout(model, ""), f"rollout of {model} stopped")
+
+
 def digest(key: str) -> porcelain.Result:
     """Return the digest of a key."""
     value = config.digest_key(key)
@@ -214,6 +238,11 @@
     "team add": (add_team, 1),
     "team rotate-key": (rotate_key, 1),
     "team limits": (limits, 1),
+    "rollout start": (start_rollout, 2),
+    "rollout pause": (pause_rollout(True), 1),
+    "rollout resume": (pause_rollout(False), 1),
+    "rollout stop": (stop_rollout, 1),
+    "rollout status": (lambda: porcelain.rollout_status(access(), FLAGS.router), 0),
     "members": (lambda: porcelain.list_members(FLAGS.router), 0),
     "status": (lambda: porcelain.all_status(FLAGS.router), 0),
     "key digest": (digest, 1),
--- /dev/null
+++ b/bronzemux/cli_report.py
@@ -0,0 +1,125 @@
+"""Command bronzemux-report: reports from the routers' metrics."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json
+import pathlib
+import sys
+import time
+
+from absl import flags
+
+from bronzemux import (
+    burn,
+    burn_report,
+    config,
+    config_store,
+    errors,
+    http_client,
+    operator,
+    settings,
+    table,
+)
+from bronzemux import clock as clocks
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("router", "http://127.0.0.1:8080", "A router; it names the others.")
+flags.DEFINE_string("operator_key", "", "Key of an operator, to read the objectives.")
+flags.DEFINE_string("platform", "", "IP-number:port of the table service, instead of a key.")
+flags.DEFINE_string("samples", "", "File that keeps samples between runs.")
+flags.DEFINE_integer("count", 1, "Number of samples to take.", lower_bound=1)
+flags.DEFINE_float("interval", 60.0, "Seconds between samples.", lower_bound=0.1)
+flags.DEFINE_enum("output", "text", ["text", "json"], "Form of the output.")
+flags.DEFINE_string("html", "", "File for a page with plots; needs the plot extra.")
+
+SECONDS_PER_HOUR = 3600.0
+MAX_SAMPLES = 50_000
+EXIT_FAILED = 1
+USAGE = "usage: bronzemux-report [flags] burn\n"
+
+
+def main() -> None:
+    """Take samples of all routers' metrics and report the burn."""
+    words = settings.parse(sys.argv)
+    if words != ["burn"]:
+        print(USAGE, file=sys.stderr)
+        settings.fail(f"no report {' '.join(words)!r}")
+    try:
+        run_burn()
+    except (errors.BronzemuxError, OSError, ValueError) as error:
+        settings.fail(str(error), EXIT_FAILED)
+
+
+def run_burn() -> None:
+    """Take the samples that the flags ask for and print the report."""
+    document = read_document()
+    series = load_samples()
+    for number in range(FLAGS.count):
+        if number:
+            time.sleep(FLAGS.interval)
+        add_sample(series, document)
+    save_samples(series)
+    rows = burn.report(series, document)
+    print(burn_report.text(rows) if FLAGS.output == "text" else burn_report.to_json(rows))
+    if FLAGS.html:
+        title = f"Service-level burn of {document.deployment.name}"
+        pathlib.Path(FLAGS.html).write_text(burn_report.to_html(rows, series, title), "utf-8")
+
+
+def read_document() -> config.Config:
+    """Return the configuration in force."""
+    if FLAGS.platform:
+        host, _, port = FLAGS.platform.rpartition(":")
+        service = table.HttpTable(http_client.ServiceSettings(host, int(port)))
+        access = config_store.ConfigStore(service, clocks.SystemClock())
+    else:
+        access = operator.RouterAccess(FLAGS.router, FLAGS.operator_key)
+    head = access.read()
+    if head is None:
+        raise errors.ConfigConflictError("there is no configuration", "apply one first")
+    return head.document()
+
+
+def read_metrics() -> list[str]:
+    """Return the metrics of all routers that answer."""
+    found = json.loads(operator.get(FLAGS.router, "/v1/locate?all=true").body)
+    texts = []
+    for item in found["routers"]:
+        try:
+            texts.append(operator.get(item["address"], "/metrics").body.decode())
+        except errors.EndpointError as error:
+            print(f"warning: {item['name']} left out: {error}", file=sys.stderr)
+    return texts
+
+
+def add_sample(series: dict, document: config.Config) -> None:
+    """Add a sample of every objective; a counter that fell begins its series anew."""
+    now = time.time() / SECONDS_PER_HOUR
+    for key, (good, total) in burn.events(burn.merge(read_metrics()), document).items():
+        samples = series.setdefault(key, [])
+        if samples and (samples[-1].total > total or samples[-1].good > good):
+            samples.clear()
+        samples.append(burn.Sample(now, good, total))
+        del samples[:-MAX_SAMPLES]
+
+
+def load_samples() -> dict:
+    """Return the samples of earlier runs."""
+    path = pathlib.Path(FLAGS.samples) if FLAGS.samples else None
+    if path is None or not path.exists():
+        return {}
+    raw = json.loads(path.read_text("utf-8"))
+    return {tuple(k.split("/", 1)): [burn.Sample(*item) for item in v] for k, v in raw.items()}
+
+
+def save_samples(series: dict) -> None:
+    """Keep the samples for later runs."""
+    if FLAGS.samples:
+        raw = {"/".join(k): [list(vars(s).values()) for s in v] for k, v in series.items()}
+        pathlib.Path(FLAGS.samples).write_text(json.dumps(raw), "utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/bronzemux/config.py
+++ b/bronzemux/config.py
@@ -59,11 +59,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Model:
-    """A model and the weights version in force."""
+    """A model, the weights version in force, and the one that is being rolled out."""
 
     name: str
     weights_version: str
     adapters: tuple[Adapter, ...] = ()
+    next_weights_version: str = ""
+    is_rollout_paused: bool = False
+
+    @property
+    def versions(self) -> tuple[str, ...]:
+        """Return the weights versions that may answer, the one in force first."""
+        following = self.next_weights_version
+        return (self.weights_version, following) if following else (self.weights_version,)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzemux/config_edit.py
+++ b/bronzemux/config_edit.py
@@ -93,6 +93,47 @@
     return change
 
 
+def set_rollout(model: str, version: str, is_paused: bool = False) -> Edit:
+    """Return the edit that starts, pauses or resumes a rollout; an empty version ends it."""
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        entry = _item(document, "models", model)
+        entry["next_weights_version"] = version
+        entry["is_rollout_paused"] = is_paused
+
+    return change
+
+
+def pause_rollout(model: str, is_paused: bool) -> Edit:
+    """Return the edit that pauses or resumes the rollout of a model.
+
+    Raises:
+      errors.ConfigConflictError: When none is under way.
+    """
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        entry = _item(document, "models", model)
+        if not entry.get("next_weights_version"):
+            raise errors.ConfigConflictError(
+                f"no rollout of {model!r} is under way", "start one with `rollout start`"
+            )
+        entry["is_rollout_paused"] = is_paused
+
+    return change
+
+
+def finish_rollout(model: str) -> Edit:
+    """Return the edit that puts the version that was rolled out in force."""
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        entry = _item(document, "models", model)
+        entry["weights_version"] = entry["next_weights_version"]
+        entry["next_weights_version"] = ""
+        entry["is_rollout_paused"] = False
+
+    return change
+
+
 def difference(old: str, new: str, names: tuple[str, str]) -> str:
     """Return the unified difference of two documents."""
     lines = difflib.unified_diff(
--- a/bronzemux/development.py
+++ b/bronzemux/development.py
@@ -56,6 +56,7 @@
         self.settings = development_settings
         self.clock = clock
         self.platform = standin_platform.StandinPlatform(clock)
+        self.loads = standin_engine.LoadCounter()
         self.engines: dict[str, standin_engine.StandinEngine] = {}
         self.services: dict[str, standin_service.StandinService] = {}
         self.routers: list[router.Router] = []
@@ -93,6 +94,7 @@
                 checks_fencing=endpoint.checks_fencing,
             ),
             self.clock,
+            self.loads,
         )
         self.engines[endpoint.name] = standin
         return standin
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import random
 
 import numpy as np
 
@@ -81,6 +82,7 @@
         self.running: dict[str, dict[str, requests.Request]] = {}
         self.lost: dict[str, dict[str, str]] = {}
         self.preferences = preferences.Preferences()
+        self.random = random.Random(self.settings.data_centre)
         self.counted: set[str] = set()
         self.prefilling: set[tuple[str, str]] = set()
         self.computed_share = 1.0
@@ -233,6 +235,7 @@
             confidence=state.confidence,
             rate=state.rate,
             incarnation=state.incarnation,
+            weights=dict(state.weights),
         )
 
     def tick(self) -> None:
@@ -281,8 +284,7 @@
             deadline=head.deadline,
             payload=message,
         )
-        allowed = self._allowed(request, frozenset())
-        if not allowed.any():
+        if not self._any_endpoint(request).any():
             raise errors.UnavailableError(
                 "no endpoint serves this", "send again after Retry-After", REFUSAL_RETRY_SECONDS
             )
@@ -334,32 +336,60 @@
 
     def _choose(self, view, message: messages.Admit) -> routing.Choice | None:
         request = message.request
-        allowed = self._allowed(request, message.excluded)
-        if not allowed.any():
-            allowed = self._allowed(request, frozenset())
+        options = self._options(message)
         if self.quarantine.is_suspect(request.fingerprint):
-            allowed = allowed & ~self._suspect_mask()
-        if not allowed.any():
+            free = ~self._suspect_mask()
+            options = [(variant, allowed & free) for variant, allowed in options]
+        options = [option for option in options if option[1].any()]
+        if not options:
             return None
-        demand = self._demand(request, allowed)
+        variant, allowed = self._pick(options)
+        demand = self._demand(request, variant, allowed)
         preset = self.snapshot.preset
         weights = routing.Weights(preset.load_weight, preset.reuse_weight)
         overlaps = self.index.overlaps(demand.chain)
-        return self.settings.policy.choose(view, demand, overlaps, weights)
+        choice = self.settings.policy.choose(view, demand, overlaps, weights)
+        return choice and dataclasses.replace(choice, variant=variant)
 
-    def _demand(self, request: requests.Request, allowed) -> routing.Demand:
+    def _options(self, message: messages.Admit) -> list[tuple[requests.Variant | None, np.ndarray]]:
+        """Return the endpoints that may take a request, by weights version."""
+        request = message.request
+        if isinstance(request, requests.ServiceRequest):
+            allowed = self.fleet.allowed("", request.service, message.excluded)
+            return [(None, allowed if allowed.any() else self._any_endpoint(request))]
+        variants = [
+            variant
+            for variant in request.variants
+            if message.weights_version in ("", variant.weights_version)
+        ]
+        found = [(v, self._serving(request, v, message.excluded)) for v in variants]
+        if any(allowed.any() for _, allowed in found):
+            return found
+        return [(v, self._serving(request, v, frozenset())) for v in variants]
+
+    def _serving(self, request, variant: requests.Variant, excluded: frozenset[str]) -> np.ndarray:
+        return self.fleet.allowed(request.model, "", excluded, variant.weights_version)
+
+    def _any_endpoint(self, request: requests.Request) -> np.ndarray:
+        """Return the endpoints that are configured for a request."""
+        if isinstance(request, requests.ServiceRequest):
+            return self.fleet.allowed("", request.service, frozenset())
+        masks = [self._serving(request, variant, frozenset()) for variant in request.variants]
+        return np.logical_or.reduce(masks)
+
+    def _pick(self, options):
+        """Return one weights version, in proportion to the endpoints that run it."""
+        if len(options) == 1:
+            return options[0]
+        counts = [int(allowed.sum()) for _, allowed in options]
+        return self.random.choices(options, counts)[0]
+
+    def _demand(self, request: requests.Request, variant, allowed) -> routing.Demand:
         piece_tokens = self.snapshot.config.deployment.piece_bytes // config.BYTES_PER_TOKEN
         if isinstance(request, requests.ModelRequest):
-            return routing.Demand(request.chain, request.tokens, piece_tokens, allowed)
+            return routing.Demand(variant.chain, request.tokens, piece_tokens, allowed)
         return routing.Demand((), 1, piece_tokens, allowed)
 
-    def _allowed(self, request: requests.Request, excluded: frozenset[str]) -> np.ndarray:
-        if isinstance(request, requests.ServiceRequest):
-            return self.fleet.allowed("", request.service, excluded)
-        model = self.snapshot.models.get(request.model)
-        version = model.weights_version if model else ""
-        return self.fleet.allowed(request.model, "", excluded, version)
-
     def _suspect_mask(self) -> np.ndarray:
         return np.array([self._runs_suspect(name) for name in self.fleet.states], dtype=bool)
 
@@ -371,13 +401,13 @@
         request = message.request
         endpoint = self.fleet.states[choice.endpoint].endpoint
         assignment = messages.Assignment(
-            request, endpoint, choice.reused_tokens, now, choice.seconds
+            request, endpoint, choice.reused_tokens, now, choice.seconds, choice.variant
         )
         self.fleet.start_work(endpoint.name, _new_tokens(assignment))
         self.prefilling.add((request.head.id, endpoint.name))
         self.running.setdefault(endpoint.name, {})[request.head.id] = request
-        if isinstance(request, requests.ModelRequest):
-            self.index.insert(endpoint.name, request.chain)
+        if choice.variant is not None:
+            self.index.insert(endpoint.name, choice.variant.chain)
         self.meters.decisions.labels(endpoint.name).inc()
         message.reply.set(assignment)
 
--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -19,6 +19,7 @@
 )
 
 MAX_RESUMES = 3
+MAX_REFUSALS = 8
 ADMISSION_GRACE_SECONDS = 1.0
 
 
@@ -68,10 +69,13 @@
         self.request = request
         self.tools = tools
         self.attempts = 0
+        self.refusals = 0
+        self.last_failure: errors.EndpointError | None = None
         self.excluded: frozenset[str] = frozenset()
         self.may_have_run = False
         self.usage = completion.Usage()
         self.incarnation = ""
+        self.weights_version = ""
 
     def assignment(self) -> messages.Assignment:
         """Return an endpoint for the next attempt.
@@ -80,7 +84,8 @@
           errors.RequestError: When the request is refused; its outcome is true.
         """
         reply = event.AsyncResult()
-        admit = messages.Admit(self.request, reply, self.excluded, self.attempts > 0)
+        is_retry = self.attempts > 0
+        admit = messages.Admit(self.request, reply, self.excluded, self.weights_version, is_retry)
         self.tools.dispatcher.send(admit)
         wait = self.request.head.deadline - self.tools.clock.monotonic()
         try:
@@ -93,6 +98,10 @@
                 ADMISSION_GRACE_SECONDS,
                 self.outcome(),
             ) from None
+        except errors.OverloadedError as error:
+            if self.last_failure is not None:
+                raise self._final(self.last_failure) from error
+            raise
         except errors.RequestError as error:
             error.outcome = self.outcome()
             raise
@@ -125,8 +134,14 @@
         """
         head = self.request.head
         self.excluded |= {assignment.endpoint.name}
+        self.last_failure = error
         is_safe = head.workload.idempotent or not self.may_have_run
-        has_attempts = self.attempts < head.snapshot.preset.retry_attempts
+        if isinstance(error, errors.EndpointRefusedError):
+            self.refusals += 1
+        failures = self.attempts - self.refusals
+        has_attempts = (
+            failures < head.snapshot.preset.retry_attempts and self.refusals < MAX_REFUSALS
+        )
         logs.event(
             "attempt_failed",
             "warning",
@@ -217,7 +232,7 @@
     def _read(self, assignment: messages.Assignment) -> Iterator[engine.Part]:
         started = self.tools.clock.monotonic()
         target = self.tools.engine_of(assignment.endpoint)
-        job = self._job()
+        job = self._job(assignment.variant)
         base = len(self.sent)
         is_continued = base > 0
         stream = self._start(target, job, assignment)
@@ -228,6 +243,7 @@
                 if part.number == 0:
                     seconds = self.tools.clock.monotonic() - started
                     self.tools.dispatcher.send(messages.FirstPart(assignment, seconds))
+                self.weights_version = job.weights_version
                 yield self._take(part, base, is_continued)
         finally:
             stream.close()
@@ -282,17 +298,16 @@
                 f"{cause.message}; then {error.message}", "start again elsewhere"
             ) from error
 
-    def _job(self) -> engine.Job:
+    def _job(self, variant: requests.Variant) -> engine.Job:
         request = self.request
         head = request.head
         suffix = f".{self.attempts}" if self.attempts > 1 else ""
-        model = head.snapshot.models[request.model]
         return engine.Job(
             request_id=head.id + suffix,
             path=request.path,
             body=request.body,
-            salt=request.salt,
-            weights_version=model.weights_version,
+            salt=variant.salt,
+            weights_version=variant.weights_version,
             priority=head.workload.priority,
             idempotency_key=head.idempotency_key,
             continue_text=completion.joined_text(self.sent),
--- a/bronzemux/messages.py
+++ b/bronzemux/messages.py
@@ -25,6 +25,7 @@
       reused_tokens: Tokens expected in its cache.
       assigned: Monotonic seconds.
       expected_seconds: Expected time to its first part.
+      variant: The request under the endpoint's weights version, None for plain services.
     """
 
     request: requests.Request
@@ -32,6 +33,7 @@
     reused_tokens: int
     assigned: float
     expected_seconds: float = 0.0
+    variant: requests.Variant | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,12 +44,14 @@
       request: The request.
       reply: Receives an `Assignment` or an error.
       excluded: Endpoints that failed for this request.
+      weights_version: Version that must go on with an answer, or empty.
       is_retry: Whether an attempt was made before.
     """
 
     request: requests.Request
     reply: event.AsyncResult
     excluded: frozenset[str] = frozenset()
+    weights_version: str = ""
     is_retry: bool = False
 
 
@@ -161,6 +165,7 @@
     confidence: float
     rate: float
     incarnation: str
+    weights: dict[str, str]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzemux/porcelain.py
+++ b/bronzemux/porcelain.py
@@ -140,6 +140,43 @@
     return Result(f"{result.text}\nkey {key}", {**result.data, "key": key})
 
 
+def start_rollout(access, model: str, version: str, who: str) -> Result:
+    """Start rolling a weights version out, one step after the other.
+
+    Raises:
+      errors.ConfigConflictError: When another rollout of the model is under way.
+    """
+    found = _model(access, model)
+    if found.next_weights_version not in ("", version):
+        raise errors.ConfigConflictError(
+            f"a rollout to {found.next_weights_version!r} is under way", "stop it first"
+        )
+    change = config_edit.set_rollout(model, version)
+    return edit_config(access, change, who, f"rollout of {model} {version} started")
+
+
+def rollout_status(access: config_store.ConfigAccess, address: str) -> Result:
+    """Return the versions of all models and of their endpoints."""
+    document = _head(access).document()
+    endpoints = router_status(address).data["endpoints"]
+    lines, data = [], []
+    for model in document.models:
+        weights = {e["name"]: e["weights"].get(model.name, "") for e in endpoints if e["weights"]}
+        state = "paused" if model.is_rollout_paused else "under way"
+        following = f", to {model.next_weights_version} {state}" * bool(model.next_weights_version)
+        lines.append(f"{model.name}: {model.weights_version} in force{following}")
+        lines += [f"  {name:24s} {version}" for name, version in weights.items()]
+        data.append({**dataclasses.asdict(model), "endpoints": weights})
+    return Result("\n".join(lines), data)
+
+
+def _model(access: config_store.ConfigAccess, name: str) -> config.Model:
+    for model in _head(access).document().models:
+        if model.name == name:
+            return model
+    raise errors.NotFoundError(f"no model {name!r}", "list them with `config show`")
+
+
 def router_status(address: str) -> Result:
     """Return the state of one router."""
     answer = operator.get(address, "/status")
--- a/bronzemux/replay.py
+++ b/bronzemux/replay.py
@@ -215,7 +215,7 @@
             return
         self.is_prefilling = True
         job = heapq.heappop(self.waiting)[2]
-        held = self._lookup(job.request.chain)
+        held = self._lookup(job.assignment.variant.chain)
         job.cached_tokens = held * self.piece_tokens
         missing = job.request.tokens - job.cached_tokens
         self.run.count_prompt(job, missing)
@@ -234,7 +234,7 @@
     def _end_prefill(self, job: Job, generation: int) -> None:
         if generation != self.generation:
             return
-        self._store(job.request.chain)
+        self._store(job.assignment.variant.chain)
         self.is_prefilling = False
         self.run.first_token(job)
         seconds = job.arrival.answer_tokens * TOKEN_SECONDS * self.slowness
@@ -472,8 +472,9 @@
             path="",
             model=model.name,
             adapter="",
-            salt=b"",
-            chain=traffic.chain(self.plan, arrival),
+            variants=(
+                requests.Variant(model.weights_version, b"", traffic.chain(self.plan, arrival)),
+            ),
             tokens=traffic.tokens(self.plan, arrival, self.piece_tokens),
             max_tokens=arrival.answer_tokens,
             body=b"",
@@ -497,12 +498,12 @@
 
     def count_prompt(self, job: Job, missing: int) -> None:
         """Count the tokens of a prompt that an engine computes."""
-        fresh = [key for key in job.request.chain if key not in self.seen]
-        again = [key for key in job.request.chain if key in self.lost]
+        fresh = [key for key in job.assignment.variant.chain if key not in self.seen]
+        again = [key for key in job.assignment.variant.chain if key in self.lost]
         self.seen.update(fresh)
         self.lost.difference_update(again)
         self._count(job.arrival, "lost_tokens", len(again) * self.piece_tokens)
-        question = job.request.tokens - len(job.request.chain) * self.piece_tokens
+        question = job.request.tokens - len(job.assignment.variant.chain) * self.piece_tokens
         compulsory = len(fresh) * self.piece_tokens + question
         self._count(job.arrival, "prompt_tokens", job.request.tokens)
         self._count(job.arrival, "computed_tokens", missing)
--- a/bronzemux/requests.py
+++ b/bronzemux/requests.py
@@ -40,6 +40,21 @@
     deadline: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Variant:
+    """A request under one weights version.
+
+    Attributes:
+      weights_version: The version.
+      salt: Seed of its cache keys.
+      chain: Cache keys of the whole pieces of its prompt.
+    """
+
+    weights_version: str
+    salt: bytes
+    chain: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class ModelRequest:
     """A request for a model.
@@ -49,8 +64,7 @@
       path: `prompt.CHAT_PATH` or `prompt.TEXT_PATH`.
       model: Name of the model.
       adapter: Adapter with its version, or empty.
-      salt: Seed of its cache keys.
-      chain: Cache keys of the whole pieces of its prompt.
+      variants: The request under each weights version that may answer.
       tokens: Estimated tokens of its prompt.
       max_tokens: Most tokens to generate.
       body: JSON body for the engine, which asks for a stream with usage.
@@ -63,8 +77,7 @@
     path: str
     model: str
     adapter: str
-    salt: bytes
-    chain: tuple[int, ...]
+    variants: tuple[Variant, ...]
     tokens: int
     max_tokens: int
     body: bytes
@@ -156,15 +169,12 @@
     wants_stream = _boolean(body, "stream")
     wants_usage = wants_stream and _wants_usage(body)
     max_tokens = _max_tokens(body)
-    salt = prefix.salt(arrival.team.name, model.name, adapter, model.weights_version)
-    piece_bytes = arrival.snapshot.config.deployment.piece_bytes
     return ModelRequest(
         head=_head(arrival, workload),
         path=path,
         model=model.name,
         adapter=adapter,
-        salt=salt,
-        chain=prefix.chain(salt, text, piece_bytes),
+        variants=_variants(arrival, model, adapter, text),
         tokens=prompt.token_estimate(text),
         max_tokens=max_tokens,
         body=_engine_body(body),
@@ -174,6 +184,17 @@
     )
 
 
+def _variants(
+    arrival: Arrival, model: config.Model, adapter: str, text: bytes
+) -> tuple[Variant, ...]:
+    piece_bytes = arrival.snapshot.config.deployment.piece_bytes
+    result = []
+    for version in model.versions:
+        salt = prefix.salt(arrival.team.name, model.name, adapter, version)
+        result.append(Variant(version, salt, prefix.chain(salt, text, piece_bytes)))
+    return tuple(result)
+
+
 def parse_service(
     arrival: Arrival, service: str, method: str, path: str, raw: bytes
 ) -> ServiceRequest:
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -11,11 +11,13 @@
     engine_http,
     http_client,
     http_server,
+    lease,
     logs,
     mesh,
     messages,
     metrics,
     objects,
+    rollout,
     settings,
     supervisor,
     table,
@@ -100,7 +102,7 @@
             self._publish_members,
         )
         self.committer = claims.Committer(self.table, self.clock, self.meters)
-        self.settler = claims.Settler(self.committer, self.clock)
+        self.settler = claims.Settler(self.committer, self.table, self.clock)
         self.claims = claims.Claims(
             claims.ClaimSettings(self.mesh.identity),
             self.table,
@@ -111,6 +113,17 @@
             self.meters,
             self.mesh.is_holder_gone,
         )
+        self.rollout = rollout.RolloutTask(
+            rollout.RolloutSettings(
+                self.mesh.identity,
+                self.settings.data_centre,
+                lease.LeaseSettings(self.settings.lease_seconds),
+            ),
+            self.table,
+            self.dispatcher,
+            self.engines,
+            self.clock,
+        )
         store = config_store.ConfigStore(self.table, self.clock)
         self.config_watcher = watcher.ConfigWatcher(
             store, self.clock, self._publish_snapshot, self.meters, name
@@ -140,6 +153,7 @@
             self.settler,
             self.watchers,
             self.mesh,
+            self.rollout,
             self.config_watcher,
             self.vm_watcher,
         )
@@ -183,6 +197,7 @@
     def _publish_snapshot(self, snapshot: snapshots.Snapshot, head: config_store.Head) -> None:
         self.status.snapshot = snapshot
         self.dispatcher.send(messages.SnapshotChanged(snapshot))
+        self.rollout.send(messages.SnapshotChanged(snapshot))
         self.mesh.send(mesh.Publish(head))
         self._update_watchers(snapshot.config)
         self._publish_leaving()
--- a/bronzemux/routing.py
+++ b/bronzemux/routing.py
@@ -81,6 +81,7 @@
       reused_tokens: Prompt tokens expected in its cache.
       has_room: Whether it can start now; if not, the request had better wait for it.
       seconds: Expected time to the first token once it has started.
+      variant: What the caller of the policy attaches.
     """
 
     position: int
@@ -88,6 +89,7 @@
     reused_tokens: int
     has_room: bool = True
     seconds: float = 0.0
+    variant: object = None
 
 
 def endpoint_seed(name: str) -> int:
--- a/bronzemux/settings.py
+++ b/bronzemux/settings.py
@@ -32,6 +32,7 @@
       drain_seconds: Time for requests to end after a stop signal.
       connect_seconds: Time to connect to an endpoint.
       progress_seconds: Longest pause in an answer of an endpoint.
+      lease_seconds: Length of leases on orders to engines.
     """
 
     name: str
@@ -48,6 +49,7 @@
     drain_seconds: float = 60.0
     connect_seconds: float = 0.5
     progress_seconds: float = 5.0
+    lease_seconds: float = 9.0
 
 
 def environment_name(flag: str) -> str:
--- a/bronzemux/slopes.py
+++ b/bronzemux/slopes.py
@@ -353,7 +353,7 @@
         service = SlowTable()
         clock, meters = clocks.SystemClock(), metrics.Metrics()
         committer = claims.Committer(service, clock, meters)
-        settler = claims.Settler(committer, clock)
+        settler = claims.Settler(committer, service, clock)
         keeper = claims.Claims(
             claims.ClaimSettings("router"),
             service,
--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -19,6 +19,7 @@
 KEPT_WORKS = 2000
 KEPT_EVENTS = 50_000
 SUMMARY_LENGTH = 8
+TAIL_BYTES = 24
 HTTP_CONFLICT = 409
 
 
@@ -66,6 +67,7 @@
       doubled_parts: Number of parts still to send twice.
       crossed_answers: Number of answers still to send under another request's id.
       crash_after_parts: Parts after which the engine crashes; 0 for never.
+      fails_to_load: Whether orders to load weights fail.
       mute_after_parts: Parts after which open connections go silent; 0 for never.
     """
 
@@ -77,17 +79,27 @@
     doubled_parts: int = 0
     crossed_answers: int = 0
     crash_after_parts: int = 0
+    fails_to_load: bool = False
     mute_after_parts: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class Execution:
-    """One start of a job, for checkers."""
+    """One start of a job, for checkers.
+
+    Attributes:
+      endpoint: Name of the endpoint.
+      incarnation: Process of the engine.
+      request_id: Identity of the job.
+      idempotency_key: Key of the caller, or empty.
+      tail: Last characters of the prompt.
+    """
 
     endpoint: str
     incarnation: str
     request_id: str
     idempotency_key: str
+    tail: str
 
 
 class Cache:
@@ -202,9 +214,17 @@
     Args:
       settings: Sizes.
       clock: Source of time.
+      loads: Counter of weight loads that the engines of a deployment share.
     """
 
-    def __init__(self, settings: StandinSettings, clock: clocks.Clock):
+    def __init__(
+        self,
+        settings: StandinSettings,
+        clock: clocks.Clock,
+        loads: "LoadCounter | None" = None,
+    ):
+        self.loads = loads or LoadCounter()
+        self.most_loading = 0
         self.settings = settings
         self.clock = clock
         self.faults = Faults()
@@ -258,6 +278,14 @@
         """Let the connections that are open go silent for good; new ones work."""
         self.muted.update(self.server.open_sockets)
 
+    def _load(self, order: engine.Order) -> None:
+        self.most_loading = max(self.most_loading, self.loads.change(1))
+        try:
+            self.clock.sleep(self.settings.load_seconds * self.faults.slowness)
+        finally:
+            self.loads.change(-1)
+        self.weights[order.model] = order.weights_version
+
     # Interface
 
     def application(self, environ, start_response):
@@ -300,7 +328,10 @@
         while len(self.works) > KEPT_WORKS:
             self.works.popitem(last=False)
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
-        self.executions.append(Execution(self.settings.name, self.incarnation, request_id, key))
+        tail = text[-TAIL_BYTES:].decode(errors="replace")
+        self.executions.append(
+            Execution(self.settings.name, self.incarnation, request_id, key, tail)
+        )
         if self.faults.poison and self.faults.poison.encode() in text:
             gevent.spawn(self.crash)
             gevent.sleep(0)
@@ -472,14 +503,27 @@
             headers = [(engine_http.HEADER_OUTCOME, engine_http.OUTCOME_NOT_RUN)]
             body = b'{"error":"old fencing token"}'
             return http_server.respond(start_response, HTTP_CONFLICT, body, headers)
+        if self.faults.fails_to_load:
+            return http_server.respond(start_response, 500, b'{"error":"weights not loaded"}')
         self.highest_fence = max(self.highest_fence, order.fencing_token)
         self.orders.append(order)
         if order.weights_version and self.weights.get(order.model) != order.weights_version:
-            self.clock.sleep(self.settings.load_seconds * self.faults.slowness)
-            self.weights[order.model] = order.weights_version
+            self._load(order)
         return http_server.respond(start_response, 200, b"{}")
 
 
+class LoadCounter:
+    """Counts engines that load weights at the same time, over all engines."""
+
+    def __init__(self):
+        self.loading = 0
+
+    def change(self, step: int) -> int:
+        """Change the number and return it."""
+        self.loading += step
+        return self.loading
+
+
 def answer_word(style: str, position: int) -> str:
     """Return the word of an answer at a position.
 
--- a/features/claims.feature
+++ b/features/claims.feature
@@ -104,3 +104,10 @@
       | go silent after 5 parts      | 200    | ran     |
       | lose a part                  | 200    | ran     |
       | answer under another request | 200    | ran     |
+
+  Scenario: A claim whose write is ambiguous never releases the claim of another request
+    Given case services take 1 seconds
+    When a first request files with key "k1" and the answers of all writes are lost for a second one
+    And team "caseworkers" files with key "k1" until it gets an answer
+    Then the outcome is "ran"
+    And the filings that ran number 1
--- /dev/null
+++ b/features/claims_model.py
@@ -0,0 +1,155 @@
+"""State machine of claims over a table service that loses, delays and refuses writes."""
+
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from bronzemux import claims, clock, errors, metrics, objects, table
+
+KEYS = ("k1",)
+ROUTERS = ("r1", "r2")
+EXAMPLES = 300
+STEPS = 30
+
+
+class ScriptedTable(table.MemoryTable):
+    """Table whose next writes have scripted fates."""
+
+    def __init__(self):
+        super().__init__()
+        self.fate = "ok"
+        self.delayed: list = []
+
+    def transact(self, writes) -> None:
+        """Write, lose the answer, delay the write, or refuse."""
+        fate, self.fate = self.fate, "ok"
+        if fate == "down":
+            raise errors.PlatformUnavailableError("down", "wait")
+        if fate == "delayed":
+            self.delayed.append(list(writes))
+            raise errors.AmbiguousWriteError("lost", "read back")
+        try:
+            super().transact(writes)
+        finally:
+            if fate == "answer lost":
+                raise errors.AmbiguousWriteError("lost", "read back") from None
+
+    def arrive(self) -> None:
+        """Let the oldest delayed write take effect, if it still can."""
+        if self.delayed:
+            try:
+                super().transact(self.delayed.pop(0))
+            except errors.WriteConflictError:
+                return
+
+
+class DirectCommitter:
+    """Committer that writes at once, a single time."""
+
+    def __init__(self, service: ScriptedTable):
+        self.service = service
+
+    def commit(self, write: table.Write) -> claims.Verdict:
+        """Write one row."""
+        try:
+            self.service.transact([write])
+            return claims.Verdict(True)
+        except errors.WriteConflictError:
+            row = self.service.read([write.key])[0]
+            is_own = row is not None and claims._is_own(write, row)
+            return claims.Verdict(is_own, row)
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Requests of two routers for one key; counts the executions of each key."""
+
+    def __init__(self):
+        super().__init__()
+        self.table = ScriptedTable()
+        self.clock = clock.FakeClock()
+        self.executed = dict.fromkeys(KEYS, 0)
+        self.held: list[tuple[str, claims.Claims, claims.Claim]] = []
+        self.routers = {name: self._claims(name) for name in ROUTERS}
+
+    def _claims(self, name: str) -> claims.Claims:
+        committer = DirectCommitter(self.table)
+        settler = claims.Settler(committer, self.table, self.clock)
+        settler.send = settler.handle
+        return claims.Claims(
+            claims.ClaimSettings(name, answer_seconds=50.0, running_seconds=20.0),
+            self.table,
+            objects.MemoryObjects(),
+            committer,
+            settler,
+            self.clock,
+            metrics.Metrics(),
+        )
+
+    @stateful.rule(fate=st.sampled_from(("ok", "answer lost", "delayed", "down")))
+    def script(self, fate):
+        """Decide the fate of the next write."""
+        self.table.fate = fate
+
+    @stateful.rule(router=st.sampled_from(ROUTERS), key=st.sampled_from(KEYS))
+    def begin(self, router, key):
+        """Let a request arrive."""
+        keeper = self.routers[router]
+        try:
+            found = keeper.begin("team", key, "content")
+        except errors.RequestError:
+            return
+        if isinstance(found, claims.Claim):
+            self.held.append((key, keeper, found))
+        else:
+            assert self.executed[key] == 1
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(data=st.data(), end=st.sampled_from(("done", "unknown", "not run", "dies")))
+    def end(self, data, end):
+        """Let a holder, however late, run its request or prove that it does not run."""
+        key, keeper, claim = self.held.pop(data.draw(st.integers(0, len(self.held) - 1)))
+        if end == "not run":
+            keeper.release(claim)
+            return
+        self.executed[key] += 1
+        if end == "done":
+            keeper.finish(claim, claims.StoredAnswer(200, "text/plain", (b"answer",)))
+        elif end == "unknown":
+            keeper.mark_unknown(claim)
+
+    @stateful.rule(router=st.sampled_from(ROUTERS))
+    def settle(self, router):
+        """Let a router repeat its pending writes."""
+        self.routers[router].settler.tick()
+
+    @stateful.rule()
+    def arrive(self):
+        """Let a delayed write take effect."""
+        self.table.arrive()
+
+    @stateful.rule(seconds=st.sampled_from((1.0, 30.0, 100.0)))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.clock.advance(seconds)
+
+    @stateful.invariant()
+    def at_most_once(self):
+        """No key runs twice."""
+        assert max(self.executed.values()) <= 1, self.executed
+
+
+def check() -> None:
+    """Explore the machine with fixed seeds.
+
+    Raises:
+      AssertionError: When a key ran twice.
+    """
+    stateful.run_state_machine_as_test(
+        ClaimMachine,
+        settings=settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=STEPS,
+            derandomize=True,
+            database=None,
+            deadline=None,
+        ),
+    )
--- a/features/fault_run.py
+++ b/features/fault_run.py
@@ -85,7 +85,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.callers: list[Caller] = []
         self.is_over = False
-        self.versions = 1
+        self.crashed: set[tuple[str, str]] = set()
 
     def run(self, count: int, rate: float) -> None:
         """Send requests at a rate under faults, then let everything settle and check."""
@@ -118,6 +118,8 @@
             gevent.sleep(REPEAT_SECONDS * (1 + source.random()))
 
     def _is_done(self, caller: Caller, outcome: str) -> bool:
+        if outcome == "condemned":
+            return True
         if outcome == "ran":
             caller.is_satisfied = True
             return True
@@ -160,7 +162,8 @@
         if outcome == "not-run":
             self._check_not_run(caller)
         if reply.status != 200:
-            return outcome
+            kind = reply.json()["error"]["type"]
+            return "condemned" if kind == "request_quarantined" else outcome
         if caller.kind == "stream":
             return self._judge_stream(caller, reply)
         if caller.kind in ("whole", "letter"):
@@ -227,6 +230,9 @@
 
     def _check(self) -> None:
         for caller in self.callers:
+            if caller.replies[-1] == "condemned":
+                self._check_condemned(caller)
+                continue
             count = len(self._executions(caller))
             if count > 1:
                 self._violate(f"ran {count} times", caller)
@@ -238,6 +244,18 @@
             if is_open and caller.replies[-1] != "unknown":
                 self._violate("lost", caller)
 
+    def _check_condemned(self, caller: Caller) -> None:
+        """A request may be refused as crashing engines when two engines died while they ran it."""
+        ends = (f"{caller.key}\n", caller.key)
+        found = {
+            (item.endpoint, item.incarnation)
+            for item in self.deployment.executions()
+            if item.tail.endswith(ends)
+        }
+        if len(found & self.crashed) < 2:
+            self._violate("condemned innocent", caller)
+        self.counts["condemned after two deaths"] += 1
+
     # Faults
 
     def _inject(self) -> None:
@@ -265,6 +283,7 @@
         if not engine.is_up:
             return
         if what == "crash":
+            self.crashed.add((engine.settings.name, engine.incarnation))
             engine.crash()
             gevent.sleep(QUIET_SECONDS)
             engine.restart()
--- /dev/null
+++ b/features/processes.feature
@@ -0,0 +1,34 @@
+Feature: Real router processes
+  Several bronzemux-router processes on loopback, started by the tests.
+
+  Scenario: A change is in force in all, and lost and paused routers do no harm
+    Given stand-ins of "centre" and 3 router processes
+    When operator "nino" runs "preset use peak" at process 1
+    Then all processes report version 2 and preset "peak"
+    When process 3 is killed
+    Then process 1 holds "vm-3" for dead
+    And a chat through process 2 gives a whole answer
+    When process 2 is paused until process 1 holds "vm-2" for dead
+    And operator "nino" runs "preset use ordinary" at process 1
+    And process 2 goes on
+    Then all processes but 3 report version 3 and preset "ordinary"
+
+  Scenario: A planned stop cuts no request and exits with 0
+    Given stand-ins of "centre" and 2 router processes
+    And engines take 0.05 seconds a word
+    When a stream of 40 words runs through process 1 and it gets SIGTERM
+    Then the stream was whole
+    And process 1 exits with 0
+
+  Scenario: At the limit a planned stop names what it left
+    Given stand-ins of "centre" and 2 router processes
+    And engines take 0.2 seconds a word
+    When a stream of 200 words runs through process 1 and it gets SIGTERM
+    Then process 1 exits with 1
+    And its log says "left_requests=1"
+
+  Scenario: A router started while the platform is down is configured by its peers
+    Given stand-ins of "centre" and 2 router processes
+    When the platform goes down for good and a third process starts
+    Then all processes report version 1 and preset "ordinary"
+    And a chat through process 3 gives a whole answer
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -52,6 +52,8 @@
 def step_service_slow(context, seconds):
     for service in services(context):
         service.work_seconds = seconds
+    for item in context.deployment.routers:
+        object.__setattr__(item.settings, "progress_seconds", 5.0)
 
 
 @when('team "{team}" files with key "{key}"')
@@ -181,3 +183,19 @@
 def step_same_letters(context):
     assert len(context.letters) == 2 and context.letters[0] == context.letters[1]
     assert context.reply.headers["X-Outcome"] == "ran"
+
+
+@when(
+    'a first request files with key "{key}" and the answers of all writes are lost for a second one'
+)
+def step_ambiguous_second(context, key):
+    first = gevent.spawn(file_request, context, "caseworkers", key)
+    gevent.sleep(0.1)
+    faults = context.deployment.platform.faults
+    faults.lost_answers = 1000
+    second = file_request(context, "caseworkers", key, 1)
+    assert second.headers["X-Outcome"] in ("not-run", "unknown"), second
+    faults.lost_answers = 0
+    third = file_request(context, "caseworkers", key, 1)
+    first.get()
+    assert third.status in (200, 409), third
--- /dev/null
+++ b/features/steps/processes_steps.py
@@ -0,0 +1,232 @@
+"""Steps of processes.feature."""
+
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+
+import gevent
+from behave import given, then, when
+from gevent import subprocess
+
+from bronzemux import engine_http, errors, http_client, standin_engine, vms
+from features import support
+from features.steps import callers_steps, ctl_steps, streams_steps
+
+DATA_CENTRES = ("tbilisi-1", "tbilisi-2", "tbilisi-3")
+EXIT_SECONDS = 30.0
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+class Process:
+    """One bronzemux-router process."""
+
+    def __init__(self, number: int, platform_port: int, peers: list[str]):
+        self.port, self.peer_port = free_port(), free_port()
+        self.log = tempfile.TemporaryFile()  # noqa: SIM115 - open as long as the process
+        words = [
+            f"--name=vm-{number}",
+            f"--data_centre={DATA_CENTRES[number % 3]}",
+            f"--port={self.port}",
+            f"--peer_port={self.peer_port}",
+            f"--platform_port={platform_port}",
+            f"--peers={','.join(peers)}",
+            "--mesh_keys=development-only",
+            "--drain_seconds=4",
+            "--progress_seconds=2",
+        ]
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", "bronzemux.cli_router", *words],
+            cwd=ctl_steps.ROOT,
+            env={k: v for k, v in os.environ.items() if not k.startswith("BRONZEMUX_")},
+            stdin=subprocess.DEVNULL,
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+
+    @property
+    def address(self) -> str:
+        """Return IP-number:port for callers."""
+        return f"127.0.0.1:{self.port}"
+
+    def end(self) -> None:
+        """Kill the process if it runs."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+            self.popen.wait()
+
+    def status(self) -> dict:
+        """Return what the router says of itself, empty when it does not answer."""
+        try:
+            return support.send(self.address, "GET", "/status").json()
+        except (errors.EndpointError, ValueError):
+            return {}
+
+
+def start(context, number: int) -> None:
+    """Start a process and list its VM."""
+    peers = [f"127.0.0.1:{process.peer_port}" for process in context.processes]
+    process = Process(number, context.deployment.platform.port, peers)
+    context.cleanups.append(process.end)
+    context.processes.append(process)
+    name = f"vm-{number}"
+    context.deployment.platform.vms.vms[name] = vms.Vm(
+        name,
+        DATA_CENTRES[number % 3],
+        process.address,
+        "router",
+        peer_address=f"127.0.0.1:{process.peer_port}",
+    )
+
+
+def is_ready(process: Process) -> bool:
+    """Return whether a router has seen all engines."""
+    endpoints = process.status().get("endpoints", [])
+    models = [item for item in endpoints if item["name"].startswith("worker")]
+    return bool(models) and all(item["incarnation"] for item in models)
+
+
+@given('stand-ins of "{name}" and {count:d} router processes')
+def step_start(context, name, count):
+    support.start_development(context, name, routers=0)
+    context.processes = []
+    for number in range(1, count + 1):
+        start(context, number)
+    streams_steps.wait_for(lambda: all(map(is_ready, context.processes)))
+    streams_steps.wait_for(
+        lambda: all(len(p.status()["members"]) == count for p in context.processes)
+    )
+
+
+@when('operator "{operator}" runs "{command}" at process {number:d}')
+def step_operate(context, operator, command, number):
+    process = context.processes[number - 1]
+    words = [f"--router={process.address}", f"--operator_key=demo-centre-operator-{operator}"]
+    ctl_steps.run(context, [*command.split(), *words])
+    assert context.status == 0, context.output
+
+
+def wait_version(processes, version: int, preset: str) -> None:
+    """Wait until processes report a version and preset."""
+
+    def is_in_force() -> bool:
+        found = [process.status() for process in processes]
+        return all(s.get("version") == version and s.get("preset") == preset for s in found)
+
+    streams_steps.wait_for(is_in_force)
+
+
+@then('all processes report version {version:d} and preset "{preset}"')
+def step_all_report(context, version, preset):
+    wait_version(context.processes, version, preset)
+
+
+@then('all processes but {number:d} report version {version:d} and preset "{preset}"')
+def step_others_report(context, number, version, preset):
+    others = [p for n, p in enumerate(context.processes, 1) if n != number]
+    wait_version(others, version, preset)
+
+
+@when("process {number:d} is killed")
+def step_kill(context, number):
+    context.processes[number - 1].end()
+
+
+def state_of(process: Process, name: str) -> str:
+    """Return the state in which a process knows a member."""
+    members = {m["name"]: m["state"] for m in process.status().get("members", [])}
+    return members.get(name, "unknown")
+
+
+@then('process {number:d} holds "{name}" for dead')
+def step_dead(context, number, name):
+    process = context.processes[number - 1]
+    streams_steps.wait_for(lambda: state_of(process, name) == "dead")
+
+
+@then("a chat through process {number:d} gives a whole answer")
+def step_chat(context, number):
+    process = context.processes[number - 1]
+    streams_steps.wait_for(lambda: is_ready(process))
+    key = context.deployment.key("caseworkers")
+    body = callers_steps.chat(max_tokens=16)
+    reply = support.send(process.address, "POST", callers_steps.CHAT, key, body)
+    assert reply.status == 200, reply
+    text = reply.json()["choices"][0]["message"]["content"]
+    assert standin_engine.is_whole_answer(text, 16), text
+
+
+@when('process {number:d} is paused until process {other:d} holds "{name}" for dead')
+def step_pause(context, number, other, name):
+    context.processes[number - 1].popen.send_signal(signal.SIGSTOP)
+    step_dead(context, other, name)
+
+
+@when("process {number:d} goes on")
+def step_continue(context, number):
+    context.processes[number - 1].popen.send_signal(signal.SIGCONT)
+
+
+def read_stream(address: str, key: str, count: int) -> str:
+    """Return the text of a stream, as far as it came."""
+    timeouts = http_client.Timeouts(2.0, 10.0)
+    host, _, port = address.rpartition(":")
+    connection = http_client.Connection(host, int(port), timeouts)
+    body = callers_steps.chat(stream=True, max_tokens=count)
+    connection.send("POST", callers_steps.CHAT, {"Authorization": f"Bearer {key}"}, body)
+    connection.receive("POST")
+    text = ""
+    try:
+        for event in http_client.events(iter(connection.read, b"")):
+            data = engine_http.decode_event(event).data
+            if data != b"[DONE]":
+                text += json.loads(data)["choices"][0]["delta"].get("content") or ""
+    except errors.EndpointError:
+        return text
+    finally:
+        connection.close()
+    return text
+
+
+@when("a stream of {count:d} words runs through process {number:d} and it gets SIGTERM")
+def step_terminate(context, count, number):
+    process = context.processes[number - 1]
+    key = context.deployment.key("caseworkers")
+    reader = gevent.spawn(read_stream, process.address, key, count)
+    streams_steps.wait_for(lambda: process.status().get("in_flight") == 1)
+    process.popen.send_signal(signal.SIGTERM)
+    context.count = count
+    context.stream = reader.get()
+
+
+@then("the stream was whole")
+def step_whole(context):
+    assert standin_engine.is_whole_answer(context.stream, context.count), context.stream
+
+
+@then("process {number:d} exits with {status:d}")
+def step_exit(context, number, status):
+    popen = context.processes[number - 1].popen
+    with gevent.Timeout(EXIT_SECONDS):
+        assert popen.wait() == status, popen.returncode
+    context.exited = context.processes[number - 1]
+
+
+@then('its log says "{text}"')
+def step_log(context, text):
+    context.exited.log.seek(0)
+    assert text in context.exited.log.read().decode()
+
+
+@when("the platform goes down for good and a third process starts")
+def step_third(context):
+    context.deployment.platform.faults.is_down = True
+    start(context, 3)
--- /dev/null
+++ b/features/steps/properties_steps.py
@@ -0,0 +1,197 @@
+"""Steps of properties.feature."""
+
+import json
+
+import hypothesis
+from behave import given, then
+from hypothesis import strategies as st
+
+from bronzemux import (
+    admission,
+    claims,
+    config,
+    engine_http,
+    errors,
+    index,
+    prefix,
+    requests,
+    resume_token,
+    retries,
+    traffic,
+    wire,
+)
+from features import claims_model, lock_comparison
+
+TEXT = st.text(st.characters(codec="utf-8"), max_size=12)
+IDENTITY = st.tuples(TEXT, TEXT, TEXT, TEXT)
+
+
+def explore(count: int):
+    """Return the settings of a run with fixed seeds."""
+    return hypothesis.settings(max_examples=count, derandomize=True, database=None, deadline=None)
+
+
+@then("chains of {count:d} generated pairs of identities share no key")
+def step_chains(context, count):
+    @explore(count)
+    @hypothesis.given(IDENTITY, IDENTITY, st.binary(min_size=8, max_size=64))
+    def check(first, second, text):
+        hypothesis.assume(first != second)
+        chains = [set(prefix.chain(prefix.salt(*item), text, 8)) for item in (first, second)]
+        assert not chains[0] & chains[1]
+
+    check()
+
+
+@then("claim keys of {count:d} generated pairs differ")
+def step_claim_keys(context, count):
+    @explore(count)
+    @hypothesis.given(st.tuples(TEXT, TEXT), st.tuples(TEXT, TEXT))
+    def check(first, second):
+        hypothesis.assume(first != second)
+        assert claims.row_key(*first) != claims.row_key(*second)
+
+    check()
+
+
+@given("ambiguous insertions are released by version")
+def step_mutant(context):
+    old = claims.Settler._carry_out
+
+    def release(self, message):
+        if isinstance(message, claims.Withdraw):
+            moved = claims.dataclasses.replace(
+                message.claim, version=message.claim.version + 1, state=claims.State.RELEASED
+            )
+            self.committer.commit(claims._write_of(moved))
+        else:
+            self.committer.commit(claims._write_of(message.claim))
+
+    claims.Settler._carry_out = release
+    context.cleanups.append(lambda: setattr(claims.Settler, "_carry_out", old))
+
+
+@then("the claim machine finds no key that ran twice")
+def step_machine(context):
+    claims_model.check()
+
+
+@then("the claim machine finds a key that ran twice")
+def step_machine_finds(context):
+    try:
+        claims_model.check()
+    except AssertionError:
+        return
+    raise AssertionError("the machine found nothing")
+
+
+@then("of {trials:d} seeded requests the lock doubles at least {least:d} and the claim none")
+def step_lock(context, trials, least):
+    found = lock_comparison.compare(trials, 1)
+    assert found.lock_doubled >= least and found.claim_doubled == 0, found
+
+
+DOCUMENT = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=12,
+)
+DECODERS = {
+    "the wire decoder": (wire.decode, st.binary(max_size=200), wire.WireError),
+    "the event decoder": (
+        engine_http.decode_event,
+        st.binary(max_size=100),
+        errors.EndpointProtocolError,
+    ),
+    "the state decoder": (
+        lambda raw: engine_http.decode_state("e", raw),
+        DOCUMENT.map(lambda value: json.dumps(value).encode()) | st.binary(max_size=100),
+        errors.EndpointProtocolError,
+    ),
+    "the configuration": (config.loads, st.text(max_size=200), errors.ConfigError),
+    "the traffic file": (traffic.loads, st.text(max_size=200), errors.ConfigError),
+    "the resume token": (
+        lambda text: resume_token.verify(text, (b"key",), 0.0),
+        st.text(max_size=100),
+        errors.InvalidRequestError,
+    ),
+    "the request body": (
+        requests.decode_body,
+        DOCUMENT.map(lambda value: json.dumps(value).encode()) | st.binary(max_size=100),
+        errors.InvalidRequestError,
+    ),
+}
+
+
+@then("{count:d} generated inputs to {decoder} raise nothing but {error}")
+def step_fuzz(context, count, decoder, error):
+    function, strategy, kind = DECODERS[decoder]
+    assert kind.__name__ == error
+
+    @explore(count)
+    @hypothesis.given(strategy)
+    def check(value):
+        try:
+            function(value)
+        except kind:
+            return
+
+    check()
+
+
+@then("{count:d} generated histories of the index agree with a model")
+def step_index(context, count):
+    action = st.tuples(
+        st.sampled_from(("insert", "remove", "forget")),
+        st.sampled_from(("a", "b", "c")),
+        st.lists(st.integers(0, 6), max_size=5).map(tuple),
+    )
+
+    @explore(count)
+    @hypothesis.given(st.lists(action, max_size=30), st.lists(st.integers(0, 6)).map(tuple))
+    def check(actions, chain):
+        known, model = index.PrefixIndex(), {"a": set(), "b": set(), "c": set()}
+        for name, endpoint, keys in actions:
+            if name == "forget":
+                known.forget(endpoint)
+                model[endpoint] = set()
+            else:
+                getattr(known, name)(endpoint, keys)
+                model[endpoint] = (
+                    model[endpoint] | set(keys)
+                    if name == "insert"
+                    else (model[endpoint] - set(keys))
+                )
+        expected = {name: leading(chain, held) for name, held in model.items()}
+        expected = {name: length for name, length in expected.items() if length}
+        assert known.overlaps(chain) == expected
+
+    check()
+
+
+def leading(chain, held) -> int:
+    """Return how many leading keys are held."""
+    for position, key in enumerate(chain):
+        if key not in held:
+            return position
+    return len(chain)
+
+
+@then("a team with 1 request is served before the second of a team with 1000")
+def step_fair(context):
+    queue = admission.FairQueue(10_000)
+    for number in range(1000):
+        queue.push(admission.Ticket(f"l{number}", "large", 1.0, 5, 1000.0, 1e9))
+    queue.push(admission.Ticket("s", "small", 1.0, 5, 1000.0, 1e9))
+    served = [queue.pop_first(lambda _: True).request for _ in range(2)]
+    assert "s" in served, served
+
+
+@then("of {count:d} requests at {rate:d} a second at most {limit:d} retries are granted")
+def step_budget(context, count, rate, limit):
+    budget, granted = retries.RetryBudget(), 0
+    for number in range(count):
+        now = number / rate
+        budget.request(now)
+        granted += budget.try_retry(0.1, now)
+    assert 0 < granted <= limit, granted
--- /dev/null
+++ b/features/steps/rollout_steps.py
@@ -0,0 +1,246 @@
+"""Steps of rollout.feature."""
+
+import gevent
+from behave import given, then, when
+
+from bronzemux import clock, config_store, engine, errors, lease, table
+from features import support
+from features.steps import streams_steps
+
+MODEL = "statute-7b"
+STEP_SECONDS = 0.5
+
+
+class FaultyTable(table.MemoryTable):
+    """Table in memory that can be down or lose an answer."""
+
+    is_down = False
+    loses_answer = False
+
+    def read(self, keys):
+        """Return rows, or fail when down."""
+        if self.is_down:
+            raise errors.PlatformUnavailableError("down", "wait")
+        return super().read(keys)
+
+    def transact(self, writes):
+        """Write, and lose the answer when told to."""
+        if self.is_down:
+            raise errors.PlatformUnavailableError("down", "wait")
+        super().transact(writes)
+        if self.loses_answer:
+            self.loses_answer = False
+            raise errors.AmbiguousWriteError("lost", "read back")
+
+
+@given("two contenders for a lease of {seconds:d} seconds")
+def step_contenders(context, seconds):
+    context.lease_table = FaultyTable()
+    context.clocks = [clock.FakeClock(), clock.FakeClock()]
+    settings = lease.LeaseSettings(seconds, 2.0)
+    context.leases = [
+        lease.Lease("x", f"c{n}", settings, context.lease_table, context.clocks[n]) for n in (0, 1)
+    ]
+    context.active = {0, 1}
+    context.both = 0
+
+
+def advance(context, seconds: float) -> None:
+    """Let time pass while the active contenders maintain the lease."""
+    for _ in range(round(seconds / STEP_SECONDS)):
+        for number in (0, 1):
+            context.clocks[number].advance(STEP_SECONDS)
+        for number in sorted(context.active):
+            try:
+                context.leases[number].maintain()
+            except errors.PlatformError:
+                continue
+        context.both += all(item.is_held() for item in context.leases)
+
+
+@when("contender 1 takes the lease")
+def step_take(context):
+    assert context.leases[0].maintain()
+    context.lease_table.read([context.leases[0].key])
+
+
+@when("contender 1 renews it every second")
+def step_renew(context):
+    context.active = {0, 1}
+
+
+@when("contender 1 is paused")
+def step_pause(context):
+    context.active = {1}
+
+
+@when("contender 1 releases it")
+def step_release(context):
+    context.leases[0].release()
+    context.active = {1}
+
+
+@when("the clocks of both differ by an hour")
+def step_skew(context):
+    context.clocks[1].advance(3600.0)
+    context.leases[1].maintain()
+
+
+@when("the answer of a renewal is lost")
+def step_lost(context):
+    advance(context, 3.5)
+    context.lease_table.loses_answer = True
+
+
+@when("the table service is down for 20 seconds")
+def step_down(context):
+    context.lease_table.is_down = True
+    advance(context, 20)
+    context.lease_table.is_down = False
+    context.active = {1}
+
+
+@then("contender 2 holds the lease {seconds:d} seconds later: {holds}")
+def step_holds(context, seconds, holds):
+    advance(context, seconds)
+    assert context.leases[1].is_held() == (holds == "yes")
+
+
+@then("contender 1 and contender 2 never hold it at the same time")
+def step_never_both(context):
+    assert context.both == 0
+
+
+@when("contender 2 takes the lease over")
+def step_take_over(context):
+    advance(context, 12)
+    assert context.leases[1].is_held()
+
+
+@then("the fencing token of contender 2 is higher")
+def step_token(context):
+    assert context.leases[1].token > context.leases[0].token
+
+
+@then("contender 2 waits for orders of contender 1 to end")
+def step_quiet(context):
+    context.leases[1].taken_over_at = context.clocks[1].monotonic()
+    assert not context.leases[1].is_quiet()
+    advance(context, 10)
+    assert context.leases[1].is_quiet()
+
+
+def in_force(context) -> str:
+    """Return the version of the model that the accepted configuration has in force."""
+    store = config_store.ConfigStore(context.deployment.platform.table, clock.SystemClock())
+    return store.read().document().models[0].weights_version
+
+
+def versions(context) -> set[str]:
+    """Return the versions that engines have."""
+    return {item.weights[MODEL] for item in context.deployment.engines.values()}
+
+
+@then('model "{model}" has version "{version}" in force everywhere')
+def step_in_force(context, model, version):
+    assert context.status == 0, context.output
+
+    def is_done() -> bool:
+        routers = context.deployment.routers
+        known = {r.status.snapshot.models[model].weights_version for r in routers}
+        return versions(context) == {version} and known == {version}
+
+    streams_steps.wait_for(is_done, 60.0)
+
+
+@then("at most {count:d} engines loaded weights at once")
+def step_at_once(context, count):
+    most = max(item.most_loading for item in context.deployment.engines.values())
+    assert 1 <= most <= count, most
+
+
+@when('team "{team}" streams chats until version "{version}" is in force')
+def step_stream_until(context, team, version):
+    context.texts = []
+    client = support.openai_client(context.deployment, team)
+    with gevent.Timeout(60.0):
+        while in_force(context) != version or len(context.texts) < 20:
+            context.texts.append(support.stream_text(client, MODEL, "short", "question")[0])
+            gevent.sleep(0.15)
+
+
+@then("all of them were whole")
+def step_all_whole(context):
+    from bronzemux import standin_engine
+
+    wrong = [text for text in context.texts if not standin_engine.is_whole_answer(text, 16)]
+    assert not wrong, wrong
+
+
+@given("engines take {seconds:g} seconds to load weights")
+def step_slow_load(context, seconds):
+    for item in context.deployment.engines.values():
+        object.__setattr__(item.settings, "load_seconds", seconds)
+
+
+@when('the first engine has version "{version}"')
+def step_first(context, version):
+    streams_steps.wait_for(lambda: version in versions(context))
+
+
+@then('every engine goes back to version "{version}"')
+def step_back(context, version):
+    assert context.status == 0, context.output
+    streams_steps.wait_for(lambda: versions(context) == {version}, 60.0)
+    gevent.sleep(3.0)
+    assert versions(context) == {version}
+
+
+@given('engine "{name}" fails to load weights')
+def step_failing(context, name):
+    context.deployment.engines[name].faults.fails_to_load = True
+
+
+@then('the rollout of "{model}" is paused by "{who}"')
+def step_paused(context, model, who):
+    store = config_store.ConfigStore(context.deployment.platform.table, clock.SystemClock())
+    streams_steps.wait_for(lambda: store.read().operator == who, 60.0)
+    found = store.read().document().models[0]
+    assert found.name == model and found.is_rollout_paused
+
+
+@then('model "{model}" still has version "{version}" in force')
+def step_still(context, model, version):
+    assert in_force(context) == version
+
+
+@when('engine "{name}" gets orders with fencing tokens {first:d} then {second:d}')
+def step_orders(context, name, first, second):
+    owner = context.deployment.routers[0]
+    target = owner.engines(owner.status.snapshot.endpoints[name])
+    target.order(engine.Order(MODEL, "2026-11", first))
+    context.error = None
+    try:
+        target.order(engine.Order(MODEL, "2026-10", second))
+    except errors.EndpointError as error:
+        context.error = error
+
+
+@then("the second order is refused as not run")
+def step_order_refused(context):
+    assert isinstance(context.error, errors.EndpointRefusedError), context.error
+    assert context.deployment.engines["worker-1"].weights[MODEL] == "2026-11"
+
+
+@when('every engine but "{name}" has other weights and a chat is sent')
+def step_other_weights(context, name):
+    for item in context.deployment.engines.values():
+        if item.settings.name != name:
+            item.weights[MODEL] = "2026-10"
+    client = support.openai_client(context.deployment, "caseworkers")
+    context.texts = [support.stream_text(client, MODEL, "short", "question")[0]]
+
+
+@then('only "{name}" ran it')
+def step_only(context, name):
+    assert {item.endpoint for item in context.deployment.executions()} == {name}
