--- a/bronzemux/answers.py
+++ b/bronzemux/answers.py
@@ -188,7 +188,7 @@
         self.record(200, errors.Outcome.RAN, replayed=True)
         if not self.request.wants_stream:
             body = completion.assemble(self.request.path, stored.parts)
-            return self.call.answer(body, outcome=errors.Outcome.RAN)
+            return self.call.answer(body, errors.Outcome.RAN, [REPLAY_HEADER])
         numbered = enumerate(stored.parts)
         events = [
             engine_http.encode_event(n, data) for n, data in numbered if self._is_wanted(data)
--- a/bronzemux/replay.py
+++ b/bronzemux/replay.py
@@ -452,7 +452,7 @@
         request = self._request(arrival)
         excluded = self.excluded.get(arrival.number, frozenset())
         reply = Reply(self, arrival, router)
-        self._handle(router, messages.Admit(request, reply, excluded, is_retry))
+        self._handle(router, messages.Admit(request, reply, excluded, is_retry=is_retry))
 
     def _request(self, arrival: traffic.Arrival) -> requests.ModelRequest:
         team = next(t for t in self.document.teams if t.name == arrival.team)
--- a/bronzemux/web.py
+++ b/bronzemux/web.py
@@ -263,10 +263,10 @@
             headers.append((OUTCOME_HEADER, outcome.value))
         return headers
 
-    def answer(self, body, status: int = 200, outcome: errors.Outcome | None = None):
+    def answer(self, body, outcome: errors.Outcome | None = None, headers=()):
         """Answer with JSON."""
         content = json.dumps(body, ensure_ascii=False).encode()
-        return self.answer_bytes(status, content, [JSON_TYPE], outcome)
+        return self.answer_bytes(200, content, [JSON_TYPE, *headers], outcome)
 
     def answer_bytes(
         self, status: int, content: bytes, headers, outcome: errors.Outcome | None = None
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -15,7 +15,7 @@
     "go silent after running": "silent_after",
     "answer with an error": "error",
 }
-ANSWER_SECONDS = 15.0
+ANSWER_SECONDS = 60.0
 
 
 def services(context) -> list:
@@ -183,6 +183,7 @@
 def step_same_letters(context):
     assert len(context.letters) == 2 and context.letters[0] == context.letters[1]
     assert context.reply.headers["X-Outcome"] == "ran"
+    assert context.reply.headers["X-Idempotent-Replay"] == "true"
 
 
 @when(
--- a/features/steps/properties_steps.py
+++ b/features/steps/properties_steps.py
@@ -56,7 +56,7 @@
 
 @given("ambiguous insertions are released by version")
 def step_mutant(context):
-    old = claims.Settler._carry_out
+    old = claims.Settler.__dict__["_carry_out"]
 
     def release(self, message):
         if isinstance(message, claims.Withdraw):
