--- a/bronzemux/answers.py
+++ b/bronzemux/answers.py
@@ -8,8 +8,8 @@
 import gevent
 import gevent.queue
 
+from bronzemux import claim as claim_rows
 from bronzemux import (
-    claims,
     completion,
     context,
     engine,
@@ -37,9 +37,9 @@
     error: errors.RequestError | None
 
 
-def claim_outcome(claim: claims.Claim) -> errors.Outcome:
+def claim_outcome(claim: claim_rows.Claim) -> errors.Outcome:
     """Return what a claim says about the execution of its request."""
-    return errors.Outcome.RAN if claim.state is claims.State.DONE else errors.Outcome.UNKNOWN
+    return errors.Outcome.RAN if claim.state is claim_rows.State.DONE else errors.Outcome.UNKNOWN
 
 
 class Answer:
@@ -55,7 +55,7 @@
         self.parts = parts
         self.request = request
         self.call = call
-        self.claim: claims.Claim | None = None
+        self.claim: claim_rows.Claim | None = None
         self.tools = forward.Tools(parts.dispatcher, parts.engine_of, parts.clock, parts.meters)
 
     def respond(self):
@@ -84,7 +84,7 @@
         found = self.parts.claims.begin(
             head.team.name, head.idempotency_key, self.request.fingerprint
         )
-        if isinstance(found, claims.StoredAnswer):
+        if isinstance(found, claim_rows.StoredAnswer):
             return self.replay(found)
         self.claim = found
         return self.run()
@@ -93,7 +93,7 @@
         """Run the request and return the body for WSGI."""
         raise NotImplementedError
 
-    def replay(self, stored: claims.StoredAnswer):
+    def replay(self, stored: claim_rows.StoredAnswer):
         """Return the body of an answer that was stored before."""
         raise NotImplementedError
 
@@ -149,7 +149,7 @@
             self.settle_failure(error)
             return error
         content_type = dict(answer.headers).get("Content-Type", "")
-        stored = claims.StoredAnswer(answer.status, content_type, (answer.body,))
+        stored = claim_rows.StoredAnswer(answer.status, content_type, (answer.body,))
         self.parts.claims.finish(self.claim, stored)
         return answer
 
@@ -159,7 +159,7 @@
             answer.status, answer.body, answer.headers, errors.Outcome.RAN
         )
 
-    def replay(self, stored: claims.StoredAnswer):
+    def replay(self, stored: claim_rows.StoredAnswer):
         """Return the body of an answer that was stored before."""
         headers = [("Content-Type", stored.content_type), REPLAY_HEADER]
         self.record(stored.status, errors.Outcome.RAN, replayed=True)
@@ -183,7 +183,7 @@
         everything = itertools.chain((first,), parts)
         return self.call.stream(self._events(execution, everything, parts), headers)
 
-    def replay(self, stored: claims.StoredAnswer):
+    def replay(self, stored: claim_rows.StoredAnswer):
         """Return the body of an answer that was stored before."""
         self.record(200, errors.Outcome.RAN, replayed=True)
         if not self.request.wants_stream:
@@ -218,7 +218,7 @@
         try:
             for part in execution.parts():
                 if part.data == engine.DONE:
-                    stored = claims.StoredAnswer(200, STREAM_TYPE, tuple(execution.sent))
+                    stored = claim_rows.StoredAnswer(200, STREAM_TYPE, tuple(execution.sent))
                     self.parts.claims.finish(self.claim, stored)
                 queue.put(part)
         except errors.RequestError as error:
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -4,6 +4,7 @@
 
 from bronzemux import (
     claims,
+    committer,
     config,
     config_store,
     context,
@@ -19,6 +20,7 @@
     objects,
     rollout,
     settings,
+    settler,
     supervisor,
     table,
     vms,
@@ -101,8 +103,8 @@
             lambda head: self.config_watcher.send(head),
             self._publish_members,
         )
-        self.committer = claims.Committer(self.table, self.clock, self.meters)
-        self.settler = claims.Settler(self.committer, self.table, self.clock)
+        self.committer = committer.Committer(self.table, self.clock, self.meters)
+        self.settler = settler.Settler(self.committer, self.table, self.clock)
         self.claims = claims.Claims(
             claims.ClaimSettings(self.mesh.identity),
             self.table,
--- a/bronzemux/slopes.py
+++ b/bronzemux/slopes.py
@@ -13,6 +13,7 @@
 from bronzemux import (
     admission,
     claims,
+    committer,
     config,
     config_delta,
     config_store,
@@ -25,11 +26,13 @@
     objects,
     policies,
     routing,
+    settler,
     shares,
     snapshot,
     table,
     wire,
 )
+from bronzemux import claim as claim_rows
 from bronzemux import clock as clocks
 
 MICROSECONDS = 1e6
@@ -352,18 +355,18 @@
     for rate in CLAIM_RATES:
         service = SlowTable()
         clock, meters = clocks.SystemClock(), metrics.Metrics()
-        committer = claims.Committer(service, clock, meters)
-        settler = claims.Settler(committer, service, clock)
+        writer = committer.Committer(service, clock, meters)
+        repeater = settler.Settler(writer, service, clock)
         keeper = claims.Claims(
             claims.ClaimSettings("router"),
             service,
             objects.MemoryObjects(),
-            committer,
-            settler,
+            writer,
+            repeater,
             clock,
             meters,
         )
-        task = gevent.spawn(committer.run)
+        task = gevent.spawn(writer.run)
         count = max(4, rate)
         started = time.process_time()
         jobs = []
@@ -373,7 +376,7 @@
         gevent.joinall(jobs, raise_error=True)
         spent = time.process_time() - started
         task.kill()
-        transactions.append((rate, committer.transactions / count))
+        transactions.append((rate, writer.transactions / count))
         times.append((rate, spent / count * MICROSECONDS))
     yield Slope("claims", "transactions a claim", "1", "claims a second", tuple(transactions))
     yield Slope("claims", "processor time a claim", "us", "claims a second", tuple(times))
@@ -392,7 +395,7 @@
 
 def _claim_once(keeper: claims.Claims, number: int) -> None:
     claim = keeper.begin("team", f"key-{number}", "content")
-    answer = claims.StoredAnswer(200, "application/json", (b"{}",))
+    answer = claim_rows.StoredAnswer(200, "application/json", (b"{}",))
     keeper.finish(claim, answer)
 
 
--- a/features/claims_model.py
+++ b/features/claims_model.py
@@ -1,13 +1,16 @@
 """State machine of claims over a table service that loses, delays and refuses writes."""
 
-from hypothesis import settings, stateful
+from hypothesis import Phase, settings, stateful
 from hypothesis import strategies as st
 
-from bronzemux import claims, clock, errors, metrics, objects, table
+from bronzemux import claim as claim_rows
+from bronzemux import claims, clock, committer, errors, metrics, objects, settler, table
 
 KEYS = ("k1",)
 ROUTERS = ("r1", "r2")
-EXAMPLES = 300
+FATE = st.sampled_from(("ok", "ok", "answer lost", "delayed", "delayed", "down"))
+END = st.sampled_from(("done", "unknown", "not run", "dies"))
+EXAMPLES = 500
 STEPS = 30
 
 
@@ -48,15 +51,15 @@
     def __init__(self, service: ScriptedTable):
         self.service = service
 
-    def commit(self, write: table.Write) -> claims.Verdict:
+    def commit(self, write: table.Write) -> committer.Verdict:
         """Write one row."""
         try:
             self.service.transact([write])
-            return claims.Verdict(True)
+            return committer.Verdict(True)
         except errors.WriteConflictError:
             row = self.service.read([write.key])[0]
-            is_own = row is not None and claims._is_own(write, row)
-            return claims.Verdict(is_own, row)
+            is_own = row is not None and committer.is_own(write, row)
+            return committer.Verdict(is_own, row)
 
 
 class ClaimMachine(stateful.RuleBasedStateMachine):
@@ -67,59 +70,61 @@
         self.table = ScriptedTable()
         self.clock = clock.FakeClock()
         self.executed = dict.fromkeys(KEYS, 0)
-        self.held: list[tuple[str, claims.Claims, claims.Claim]] = []
+        self.patience = 0
+        self.held: list[tuple[str, claims.Claims, claim_rows.Claim]] = []
         self.routers = {name: self._claims(name) for name in ROUTERS}
 
     def _claims(self, name: str) -> claims.Claims:
-        committer = DirectCommitter(self.table)
-        settler = claims.Settler(committer, self.table, self.clock)
-        settler.send = settler.handle
+        writer = DirectCommitter(self.table)
+        repeater = settler.Settler(writer, self.table, self.clock)
+        repeater.send = repeater.handle
         return claims.Claims(
             claims.ClaimSettings(name, answer_seconds=50.0, running_seconds=20.0),
             self.table,
             objects.MemoryObjects(),
-            committer,
-            settler,
+            writer,
+            repeater,
             self.clock,
             metrics.Metrics(),
         )
 
-    @stateful.rule(fate=st.sampled_from(("ok", "answer lost", "delayed", "down")))
-    def script(self, fate):
-        """Decide the fate of the next write."""
+    @stateful.rule(router=st.sampled_from(ROUTERS), key=st.sampled_from(KEYS), fate=FATE)
+    def begin(self, router, key, fate):
+        """Let a request arrive, with a fate of its write."""
         self.table.fate = fate
-
-    @stateful.rule(router=st.sampled_from(ROUTERS), key=st.sampled_from(KEYS))
-    def begin(self, router, key):
-        """Let a request arrive."""
+        self.patience += 1
         keeper = self.routers[router]
         try:
             found = keeper.begin("team", key, "content")
         except errors.RequestError:
             return
-        if isinstance(found, claims.Claim):
+        if isinstance(found, claim_rows.Claim):
             self.held.append((key, keeper, found))
         else:
             assert self.executed[key] == 1
 
-    @stateful.precondition(lambda self: self.held)
-    @stateful.rule(data=st.data(), end=st.sampled_from(("done", "unknown", "not run", "dies")))
-    def end(self, data, end):
+    @stateful.precondition(lambda self: len(self.held) > 1 or (self.held and self.patience > 3))
+    @stateful.rule(data=st.data(), end=END, fate=FATE)
+    def end(self, data, end, fate):
         """Let a holder, however late, run its request or prove that it does not run."""
+        self.table.fate = fate
+        self.patience = 0
         key, keeper, claim = self.held.pop(data.draw(st.integers(0, len(self.held) - 1)))
         if end == "not run":
             keeper.release(claim)
             return
         self.executed[key] += 1
         if end == "done":
-            keeper.finish(claim, claims.StoredAnswer(200, "text/plain", (b"answer",)))
+            keeper.finish(claim, claim_rows.StoredAnswer(200, "text/plain", (b"answer",)))
         elif end == "unknown":
             keeper.mark_unknown(claim)
 
-    @stateful.rule(router=st.sampled_from(ROUTERS))
-    def settle(self, router):
-        """Let a router repeat its pending writes."""
-        self.routers[router].settler.tick()
+    @stateful.rule(fate=FATE)
+    def settle(self, fate):
+        """Let all routers repeat their pending writes, the first one with a fate."""
+        self.table.fate = fate
+        for keeper in self.routers.values():
+            keeper.settler.tick()
 
     @stateful.rule()
     def arrive(self):
@@ -151,5 +156,6 @@
             derandomize=True,
             database=None,
             deadline=None,
+            phases=(Phase.generate,),
         ),
     )
--- a/features/lock_comparison.py
+++ b/features/lock_comparison.py
@@ -3,7 +3,8 @@
 import dataclasses
 import random
 
-from bronzemux import claims, clock, errors
+from bronzemux import claim as claim_rows
+from bronzemux import clock, errors
 from features import claims_model
 
 TTL_SECONDS = 10.0
@@ -77,13 +78,13 @@
         machine.clock.advance(REPEAT_SECONDS)
         try:
             found = second.begin("team", "k1", "content")
-            executions += isinstance(found, claims.Claim)
+            executions += isinstance(found, claim_rows.Claim)
         except errors.InProgressError:
             continue
         except errors.OutcomeUnknownError:
             is_unknown = True
     assert isinstance(machine.clock, clock.FakeClock)
-    first.finish(held, claims.StoredAnswer(200, "text/plain", (b"answer",)))
+    first.finish(held, claim_rows.StoredAnswer(200, "text/plain", (b"answer",)))
     return executions + 1, is_unknown
 
 
--- a/features/steps/fault_run_steps.py
+++ b/features/steps/fault_run_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from bronzemux import claim as claim_rows
 from bronzemux import claims, engine_http, errors, forward
 from features import fault_run, support
 
@@ -33,9 +34,9 @@
     context.cleanups.append(lambda: setattr(owner, name, old))
 
 
-def always_begin(self, team: str, key: str, content: str) -> claims.Claim:
+def always_begin(self, team: str, key: str, content: str) -> claim_rows.Claim:
     """Begin without a claim, so that repeats run again."""
-    return claims.Claim("none", 1, claims.State.STARTED, "n", content, "r", 0.0)
+    return claim_rows.Claim("none", 1, claim_rows.State.STARTED, "n", content, "r", 0.0)
 
 
 def unchecked_parts(self):
--- a/features/steps/properties_steps.py
+++ b/features/steps/properties_steps.py
@@ -1,5 +1,6 @@
 """Steps of properties.feature."""
 
+import dataclasses
 import json
 
 import hypothesis
@@ -8,7 +9,6 @@
 
 from bronzemux import (
     admission,
-    claims,
     config,
     engine_http,
     errors,
@@ -17,9 +17,11 @@
     requests,
     resume_token,
     retries,
+    settler,
     traffic,
     wire,
 )
+from bronzemux import claim as claim_rows
 from features import claims_model, lock_comparison
 
 TEXT = st.text(st.characters(codec="utf-8"), max_size=12)
@@ -49,26 +51,26 @@
     @hypothesis.given(st.tuples(TEXT, TEXT), st.tuples(TEXT, TEXT))
     def check(first, second):
         hypothesis.assume(first != second)
-        assert claims.row_key(*first) != claims.row_key(*second)
+        assert claim_rows.row_key(*first) != claim_rows.row_key(*second)
 
     check()
 
 
 @given("ambiguous insertions are released by version")
 def step_mutant(context):
-    old = claims.Settler.__dict__["_carry_out"]
+    old = settler.Settler.__dict__["_carry_out"]
 
     def release(self, message):
-        if isinstance(message, claims.Withdraw):
-            moved = claims.dataclasses.replace(
-                message.claim, version=message.claim.version + 1, state=claims.State.RELEASED
+        if isinstance(message, settler.Withdraw):
+            moved = dataclasses.replace(
+                message.claim, version=message.claim.version + 1, state=claim_rows.State.RELEASED
             )
-            self.committer.commit(claims._write_of(moved))
+            self.committer.commit(claim_rows.write_of(moved))
         else:
-            self.committer.commit(claims._write_of(message.claim))
+            self.committer.commit(claim_rows.write_of(message.claim))
 
-    claims.Settler._carry_out = release
-    context.cleanups.append(lambda: setattr(claims.Settler, "_carry_out", old))
+    settler.Settler._carry_out = release
+    context.cleanups.append(lambda: setattr(settler.Settler, "_carry_out", old))
 
 
 @then("the claim machine finds no key that ran twice")
