Serve at once after a herd restart; stop only when claimed work and writes have ended

Cause: with a slow platform a restarted router served after 2.0 s, with it down and seven of eight restarted after 5.2 s. Trace: the configuration watcher waited for the platform while a peer's answer lay in its mailbox; a router without configuration asked one peer every fifth period. Change: the watcher reads beside its task; a router without configuration asks three peers every 0.3 s. A planned stop now counts claimed work whose caller left, waits for pending writes of claims and gives leases back. replay.py is split into replay, figures and fake_engine; both programs for operators share access_to.

--- a/bronzemux/answers.py
+++ b/bronzemux/answers.py
@@ -1,5 +1,6 @@
 """Answers to callers: claims, execution, streams and their records."""
 
+import contextlib
 import dataclasses
 import itertools
 import json
@@ -97,6 +98,15 @@
         """Return the body of an answer that was stored before."""
         raise NotImplementedError
 
+    @contextlib.contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count work that goes on without its caller, so that a stop waits for it."""
+        self.parts.status.in_flight += 1
+        try:
+            yield
+        finally:
+            self.parts.status.in_flight -= 1
+
     def settle_failure(self, error: errors.RequestError) -> None:
         """Record at the claim what is known after a failure."""
         if self.claim is None:
@@ -143,15 +153,16 @@
         return service_call.ServiceExecution(self.request, self.tools, limits).answer()
 
     def _execute_claimed(self) -> service_call.ServiceAnswer | errors.RequestError:
-        try:
-            answer = self._execute()
-        except errors.RequestError as error:
-            self.settle_failure(error)
-            return error
-        content_type = dict(answer.headers).get("Content-Type", "")
-        stored = claim_rows.StoredAnswer(answer.status, content_type, (answer.body,))
-        self.parts.claims.finish(self.claim, stored)
-        return answer
+        with self.counted():
+            try:
+                answer = self._execute()
+            except errors.RequestError as error:
+                self.settle_failure(error)
+                return error
+            content_type = dict(answer.headers).get("Content-Type", "")
+            stored = claim_rows.StoredAnswer(answer.status, content_type, (answer.body,))
+            self.parts.claims.finish(self.claim, stored)
+            return answer
 
     def _send(self, answer: service_call.ServiceAnswer):
         self.record(answer.status, errors.Outcome.RAN)
@@ -215,6 +226,13 @@
                 gevent.spawn(_discard, queue)
 
     def _execute_claimed(self, execution: forward.Execution, queue: gevent.queue.Queue) -> None:
+        with self.counted():
+            queue.put(Finished(self._run_claimed(execution, queue)))
+
+    def _run_claimed(
+        self, execution: forward.Execution, queue: gevent.queue.Queue
+    ) -> errors.RequestError | None:
+        """Pass parts on and record the answer; return the error of a failure."""
         try:
             for part in execution.parts():
                 if part.data == engine.DONE:
@@ -223,9 +241,8 @@
                 queue.put(part)
         except errors.RequestError as error:
             self.settle_failure(error)
-            queue.put(Finished(error))
-            return
-        queue.put(Finished(None))
+            return error
+        return None
 
     # Forms of the answer
 
--- a/bronzemux/cli_ctl.py
+++ b/bronzemux/cli_ctl.py
@@ -13,16 +13,13 @@
 from absl import flags
 
 from bronzemux import (
-    clock,
     config,
     config_edit,
     config_store,
     errors,
-    http_client,
     operator,
     porcelain,
     settings,
-    table,
 )
 
 FLAGS = flags.FLAGS
@@ -99,13 +96,7 @@
 
 def access() -> config_store.ConfigAccess:
     """Return the accepted configurations, through a router or the table service."""
-    if not FLAGS.platform:
-        return operator.RouterAccess(FLAGS.router, FLAGS.operator_key)
-    host, _, port = FLAGS.platform.rpartition(":")
-    if not host or not port.isdigit():
-        raise errors.SettingError(f"--platform={FLAGS.platform!r}", "give IP-number:port")
-    service = table.HttpTable(http_client.ServiceSettings(host, int(port)))
-    return config_store.ConfigStore(service, clock.SystemClock())
+    return operator.access_to(FLAGS.router, FLAGS.operator_key, FLAGS.platform)
 
 
 def confirm(question: str) -> None:
--- a/bronzemux/cli_load.py
+++ b/bronzemux/cli_load.py
@@ -43,10 +43,12 @@
   replay    seeded traffic through the decision modules on a fake clock, for each policy
   run       seeded traffic over real sockets to running routers
   overhead  time and processor time that a router adds, against the same engine directly
+  restart   time from a router's restart to its first answer, with the platform up, slow and down
   slopes    how state, messages and processor time grow, for docs/CAPACITY.md
 """
 FAST = 1000.0
 PACE_SECONDS = 0.001
+SLOW_SECONDS = 1.0
 UNLIMITED = config.Limits(requests_per_second=1e9, tokens_per_second=1e12, concurrency=10**6)
 
 
@@ -58,6 +60,7 @@
         "run": run_load,
         "overhead": run_overhead,
         "slopes": run_slopes,
+        "restart": run_restart,
     }
     if len(words) != 1 or words[0] not in commands:
         print(USAGE, file=sys.stderr)
@@ -126,6 +129,23 @@
     deployment.stop()
 
 
+def run_restart() -> None:
+    """Measure restarts and report."""
+    text = (pathlib.Path(FLAGS.examples) / f"{FLAGS.deployment}.toml").read_text("utf-8")
+    deployment = development.Development(
+        development.DevelopmentSettings(text=text, routers=8), clock.SystemClock()
+    )
+    deployment.start()
+    faults = deployment.platform.faults
+    for state in ("up", "slow", "down"):
+        faults.is_down = state == "down"
+        faults.delay_seconds = SLOW_SECONDS if state == "slow" else 0.0
+        for positions in ([7], list(range(1, 8))):
+            times = load.restart_times(deployment, positions)
+            print(f"platform {state}, {len(positions)} of 8 routers: slowest {max(times):.3f} s")
+    deployment.stop()
+
+
 def run_slopes() -> None:
     """Measure slopes and print them as a table."""
     print("\n".join(slopes.table_lines(list(slopes.measure()))))
--- a/bronzemux/cli_report.py
+++ b/bronzemux/cli_report.py
@@ -15,14 +15,10 @@
     burn,
     burn_report,
     config,
-    config_store,
     errors,
-    http_client,
     operator,
     settings,
-    table,
 )
-from bronzemux import clock as clocks
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string("router", "http://127.0.0.1:8080", "A router; it names the others.")
@@ -70,12 +66,7 @@
 
 def read_document() -> config.Config:
     """Return the configuration in force."""
-    if FLAGS.platform:
-        host, _, port = FLAGS.platform.rpartition(":")
-        service = table.HttpTable(http_client.ServiceSettings(host, int(port)))
-        access = config_store.ConfigStore(service, clocks.SystemClock())
-    else:
-        access = operator.RouterAccess(FLAGS.router, FLAGS.operator_key)
+    access = operator.access_to(FLAGS.router, FLAGS.operator_key, FLAGS.platform)
     head = access.read()
     if head is None:
         raise errors.ConfigConflictError("there is no configuration", "apply one first")
--- a/bronzemux/fake_network.py
+++ b/bronzemux/fake_network.py
@@ -43,6 +43,7 @@
         """Add or restart a member that knows only the VM list."""
         own = wire.Member(name, data_centre, name, incarnation)
         node = membership.Membership(own, name)
+        node.config_version = 1
         node.next_period = self.clock.monotonic() + self.random.random()
         self.nodes[name] = node
         self.down.discard(name)
--- a/bronzemux/load.py
+++ b/bronzemux/load.py
@@ -27,6 +27,7 @@
 PERCENTILES = (50.0, 95.0, 99.0, 99.9)
 OVERHEAD_WARM_UP = 5
 MICROSECONDS = 1e6
+RETRY_SECONDS = 0.005
 
 
 @dataclasses.dataclass
@@ -297,3 +298,36 @@
     """Return the processor time that this process has used, in seconds."""
     usage = resource.getrusage(resource.RUSAGE_SELF)
     return usage.ru_utime + usage.ru_stime
+
+
+# Restarts
+
+
+def restart_times(deployment, positions: list[int]) -> list[float]:
+    """Crash and replace routers at the same time; return the seconds to each first answer.
+
+    Args:
+      deployment: A started development deployment.
+      positions: Positions of the routers.
+    """
+    for position in positions:
+        deployment.crash_router(position)
+    started = time.perf_counter()
+    for position in positions:
+        deployment.start_router(position)
+    team = deployment.document.teams[0].name
+    headers = {"Authorization": f"Bearer {deployment.key(team)}"}
+    body = _body(deployment.document.models[0].name, [{"role": "user", "content": "Hello"}], 1)
+
+    def first_answer(position: int) -> float:
+        address = f"127.0.0.1:{deployment.routers[position].port}"
+        while True:
+            try:
+                read_stream(address, prompt.CHAT_PATH, headers, body)
+                return time.perf_counter() - started
+            except (errors.EndpointError, errors.RequestError):
+                gevent.sleep(RETRY_SECONDS)
+
+    jobs = [gevent.spawn(first_answer, position) for position in positions]
+    gevent.joinall(jobs, raise_error=True)
+    return [job.value for job in jobs]
--- a/bronzemux/membership.py
+++ b/bronzemux/membership.py
@@ -14,6 +14,7 @@
 from bronzemux import wire
 
 PERIOD_SECONDS = 1.0
+COLD_PERIOD_SECONDS = 0.3
 ACK_SECONDS = 0.3
 INDIRECT_PROBES = 3
 SUSPICION_PERIODS = 3.0
@@ -141,7 +142,8 @@
         """
         out = self._check_probes(now)
         if now >= self.next_period:
-            self.next_period = max(self.next_period + PERIOD_SECONDS, now)
+            period = PERIOD_SECONDS if self.config_version else COLD_PERIOD_SECONDS
+            self.next_period = max(self.next_period + period, now)
             self.periods += 1
             out += self._start_period(now)
         return out
@@ -211,7 +213,9 @@
             out.append(self._probe(target.name, target.address, now))
         if self.is_relay():
             out += self._probe_other_data_centre(now)
-        if self.periods % RECONNECT_PERIODS == 1 or not self.entries:
+        if not self.config_version:
+            out += self._ask_for_configuration()
+        elif self.periods % RECONNECT_PERIODS == 1 or not self.entries:
             out += self._reconnect()
         return out
 
@@ -238,6 +242,12 @@
         relay = self.random.choice(self.relays(data_centre))
         return [self._probe(relay.name, relay.address, now)]
 
+    def _ask_for_configuration(self) -> list[Outgoing]:
+        """Ask a few routers of the VM list while this one has no configuration."""
+        addresses = sorted({place[1] for place in self.seeds.values()} - {self.own.address})
+        chosen = self.random.sample(addresses, min(FANOUT, len(addresses)))
+        return [Outgoing(address, wire.SyncRequest(self._gossip())) for address in chosen]
+
     def _reconnect(self) -> list[Outgoing]:
         """Ask a router that is unknown or dead here for all it knows; this heals partitions."""
         alive = {member.address for member in self.alive()}
--- a/bronzemux/operator.py
+++ b/bronzemux/operator.py
@@ -4,7 +4,8 @@
 import json
 import urllib.parse
 
-from bronzemux import config, config_store, context, errors, http_client
+from bronzemux import clock as clocks
+from bronzemux import config, config_store, context, errors, http_client, table
 
 PREFIX = "/operator/"
 ROLE_OF_METHOD = {"GET": "viewer", "POST": "operator"}
@@ -143,6 +144,26 @@
         raise _error(answer.status, content["error"]["message"])
 
 
+def access_to(router: str, key: str, platform: str) -> config_store.ConfigAccess:
+    """Return the accepted configurations, through a router or the table service.
+
+    Args:
+      router: Address of a router.
+      key: Key of the operator.
+      platform: IP number and port of the table service; goes before the router when given.
+
+    Raises:
+      errors.SettingError: When the address of the table service is not usable.
+    """
+    if not platform:
+        return RouterAccess(router, key)
+    host, _, port = platform.rpartition(":")
+    if not host or not port.isdigit():
+        raise errors.SettingError(f"--platform={platform!r}", "give IP-number:port")
+    service = table.HttpTable(http_client.ServiceSettings(host, int(port)))
+    return config_store.ConfigStore(service, clocks.SystemClock())
+
+
 def get(
     address: str, path: str, key: str = "", method: str = "GET", body: bytes = b""
 ) -> http_client.Answer:
--- a/bronzemux/replay.py
+++ b/bronzemux/replay.py
@@ -7,15 +7,14 @@
 import random
 from collections.abc import Callable
 
-import ddsketch
-
 from bronzemux import clock as clocks
 from bronzemux import (
     config,
     dispatcher,
     engine,
     errors,
-    fleet,
+    fake_engine,
+    figures,
     messages,
     metrics,
     policies,
@@ -27,70 +26,7 @@
 REPORT_SECONDS = 0.25
 REPORT_LAG_SECONDS = 0.2
 NETWORK_SECONDS = 0.001
-TOKEN_SECONDS = 0.004
 TICK_SECONDS = 0.25
-SKETCH_ACCURACY = 0.01
-PERCENTILES = (50.0, 95.0, 99.0, 99.9)
-
-
-@dataclasses.dataclass(frozen=True)
-class Summary:
-    """Figures of one run or one phase of it.
-
-    Attributes:
-      policy: Name of the policy.
-      requests: Requests that arrived.
-      answered: Requests with a whole answer.
-      shed: Requests that were refused as not run.
-      failed: Requests that ended otherwise.
-      attempts: Attempts at endpoints.
-      prompt_tokens: Tokens of the prompts of all attempts.
-      computed_tokens: Tokens that engines computed.
-      compulsory_tokens: Tokens that must be computed at least once.
-      lost_tokens: Tokens computed again because a crash took the only copy.
-      first_token: Seconds to the first token, by percentile.
-      team_first_token: Seconds to the first token of 99 in 100, by team.
-      goodput: Answers a second within their objective.
-    """
-
-    policy: str
-    requests: int
-    answered: int
-    shed: int
-    failed: int
-    attempts: int
-    prompt_tokens: int
-    computed_tokens: int
-    compulsory_tokens: int
-    lost_tokens: int
-    first_token: dict[float, float]
-    team_first_token: dict[str, float]
-    goodput: float
-
-    @property
-    def hit_rate(self) -> float:
-        """Return the share of prompt tokens found in caches."""
-        return 1.0 - self.computed_tokens / max(1, self.prompt_tokens)
-
-    @property
-    def bound_hit_rate(self) -> float:
-        """Return the hit rate with compulsory misses only."""
-        return 1.0 - self.compulsory_tokens / max(1, self.prompt_tokens)
-
-    @property
-    def waste_ratio(self) -> float:
-        """Return computed tokens as a multiple of compulsory ones."""
-        return self.computed_tokens / max(1, self.compulsory_tokens)
-
-    @property
-    def waste_ratio_after_losses(self) -> float:
-        """Return computed tokens as a multiple of compulsory ones and those lost in crashes."""
-        return self.computed_tokens / max(1, self.compulsory_tokens + self.lost_tokens)
-
-    @property
-    def retry_ratio(self) -> float:
-        """Return attempts after the first as a share of requests."""
-        return max(0, self.attempts - self.answered - self.failed) / max(1, self.requests)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,192 +42,6 @@
     has_events: bool = True
 
 
-class Recorder:
-    """Collects the figures of one phase.
-
-    Args:
-      policy: Name of the policy.
-    """
-
-    def __init__(self, policy: str):
-        self.policy = policy
-        self.counts: collections.Counter[str] = collections.Counter()
-        self.sketch = ddsketch.DDSketch(SKETCH_ACCURACY)
-        self.teams: dict[str, ddsketch.DDSketch] = {}
-
-    def first_token(self, team: str, seconds: float) -> None:
-        """Record a time to first token."""
-        self.sketch.add(seconds)
-        if team not in self.teams:
-            self.teams[team] = ddsketch.DDSketch(SKETCH_ACCURACY)
-        self.teams[team].add(seconds)
-
-    def summary(self, seconds: float) -> Summary:
-        """Return the figures.
-
-        Args:
-          seconds: Length of the phase.
-        """
-        count = self.counts
-        return Summary(
-            policy=self.policy,
-            requests=count["requests"],
-            answered=count["answered"],
-            shed=count["shed"],
-            failed=count["failed"],
-            attempts=count["attempts"],
-            prompt_tokens=count["prompt_tokens"],
-            computed_tokens=count["computed_tokens"],
-            compulsory_tokens=count["compulsory_tokens"],
-            lost_tokens=count["lost_tokens"],
-            first_token={p: _quantile(self.sketch, p) for p in PERCENTILES},
-            team_first_token={t: _quantile(s, 99.0) for t, s in sorted(self.teams.items())},
-            goodput=count["good"] / seconds,
-        )
-
-
-def _quantile(sketch: ddsketch.DDSketch, percentile: float) -> float:
-    return float(sketch.get_quantile_value(percentile / 100.0) or 0.0)
-
-
-@dataclasses.dataclass
-class Job:
-    """One attempt at a fake engine."""
-
-    arrival: traffic.Arrival
-    request: requests.ModelRequest
-    assignment: messages.Assignment
-    router: int
-    cached_tokens: int = 0
-
-
-class FakeEngine:
-    """Engine with a serial prefill, slots for decoding and a bounded prefix cache.
-
-    Args:
-      endpoint: Configured sizes.
-      piece_tokens: Tokens of one piece.
-      run: The replay that it belongs to.
-    """
-
-    def __init__(self, endpoint: config.Endpoint, piece_tokens: int, run: "Replay"):
-        self.endpoint = endpoint
-        self.piece_tokens = piece_tokens
-        self.run = run
-        self.slowness = 1.0
-        self.is_up = True
-        self.restarts = 0
-        self.reset()
-
-    def reset(self) -> None:
-        """Start with an empty cache and no work."""
-        self.cache: collections.OrderedDict[int, None] = collections.OrderedDict()
-        self.log: list[tuple[int, bool]] = []
-        self.sequence = 0
-        self.waiting: list[tuple[int, int, Job]] = []
-        self.counter = itertools.count()
-        self.active: list[Job] = []
-        self.is_prefilling = False
-        self.generation = getattr(self, "generation", 0) + 1
-
-    @property
-    def incarnation(self) -> str:
-        """Return the identity of the process."""
-        return f"{self.endpoint.name}-{self.restarts}"
-
-    def accept(self, job: Job) -> None:
-        """Take a job, or fail it when the engine is down."""
-        if not self.is_up:
-            self.run.attempt_failed(job, errors.EndpointUnreachableError("down", "none"))
-            return
-        self.active.append(job)
-        priority = job.request.head.workload.priority
-        heapq.heappush(self.waiting, (priority, next(self.counter), job))
-        self._start_prefill()
-
-    def _start_prefill(self) -> None:
-        running = len(self.active) - len(self.waiting)
-        if self.is_prefilling or not self.waiting or running >= self.endpoint.slots:
-            return
-        self.is_prefilling = True
-        job = heapq.heappop(self.waiting)[2]
-        held = self._lookup(job.assignment.variant.chain)
-        job.cached_tokens = held * self.piece_tokens
-        missing = job.request.tokens - job.cached_tokens
-        self.run.count_prompt(job, missing)
-        seconds = missing / self.endpoint.prefill_tokens_per_second * self.slowness
-        self.run.after(seconds, self._end_prefill, job, self.generation)
-
-    def _lookup(self, chain: tuple[int, ...]) -> int:
-        held = 0
-        for key in chain:
-            if key not in self.cache:
-                break
-            self.cache.move_to_end(key)
-            held += 1
-        return held
-
-    def _end_prefill(self, job: Job, generation: int) -> None:
-        if generation != self.generation:
-            return
-        self._store(job.assignment.variant.chain)
-        self.is_prefilling = False
-        self.run.first_token(job)
-        seconds = job.arrival.answer_tokens * TOKEN_SECONDS * self.slowness
-        self.run.after(seconds, self._end, job, generation)
-        self._start_prefill()
-
-    def _store(self, chain: tuple[int, ...]) -> None:
-        for key in chain:
-            if key not in self.cache:
-                self.log.append((key, True))
-            self.cache[key] = None
-            self.cache.move_to_end(key)
-        while len(self.cache) > self.endpoint.cache_pieces:
-            key, _ = self.cache.popitem(last=False)
-            self.log.append((key, False))
-
-    def _end(self, job: Job, generation: int) -> None:
-        if generation != self.generation:
-            return
-        self.active.remove(job)
-        self.run.answered(job, self.incarnation)
-        self._start_prefill()
-
-    def crash(self) -> None:
-        """Lose all work and the cache."""
-        self.is_up = False
-        lost, self.active = self.active, []
-        self.reset()
-        for job in lost:
-            self.run.attempt_failed(job, errors.EndpointLostError("crashed", "none"))
-
-    def restart(self) -> None:
-        """Come back as a new incarnation."""
-        self.is_up = True
-        self.restarts += 1
-
-    def report(self) -> engine.EngineState:
-        """Return the load and the cache events since the last report."""
-        events, self.log = self.log, []
-        first = self.sequence + 1
-        self.sequence += len(events)
-        load = fleet.LoadReport(
-            endpoint=self.endpoint.name,
-            incarnation=self.incarnation,
-            running=len(self.active) - len(self.waiting) - self.is_prefilling,
-            waiting=len(self.waiting) + self.is_prefilling,
-        )
-        batch = engine.EventBatch(
-            incarnation=self.incarnation,
-            first=first,
-            last=self.sequence,
-            stored=tuple(key for key, is_stored in events if is_stored),
-            evicted=tuple(key for key, is_stored in events if not is_stored),
-        )
-        return engine.EngineState(load, batch)
-
-
 class Reply:
     """Place for a dispatcher's reply that tells the replay at once.
 
@@ -343,7 +93,7 @@
         self.counter = itertools.count()
         self.piece_tokens = document.deployment.piece_bytes // config.BYTES_PER_TOKEN
         self.engines = {
-            endpoint.name: FakeEngine(endpoint, self.piece_tokens, self)
+            endpoint.name: fake_engine.FakeEngine(endpoint, self.piece_tokens, self)
             for endpoint in document.endpoints
             if endpoint.kind == "model"
         }
@@ -354,8 +104,8 @@
         self.attempts: collections.Counter[int] = collections.Counter()
         self.started: set[int] = set()
         self.boundaries = sorted({0.0, *(fault.at_seconds for fault in plan.faults)})
-        self.recorders = [Recorder(policy().name) for _ in self.boundaries]
-        self.total = Recorder(policy().name)
+        self.recorders = [figures.Recorder(policy().name) for _ in self.boundaries]
+        self.total = figures.Recorder(policy().name)
         self.dispatchers = [self._dispatcher(i) for i in range(plan.routers)]
 
     def _dispatcher(self, position: int) -> dispatcher.Dispatcher:
@@ -375,7 +125,7 @@
         at = self.clock.monotonic() + seconds
         heapq.heappush(self.queue, (at, next(self.counter), function, args))
 
-    def run(self) -> Summary:
+    def run(self) -> figures.Summary:
         """Run to the end and return the figures of the whole run."""
         self._arrivals = traffic.arrivals(self.plan)
         self._next_arrival()
@@ -390,7 +140,7 @@
             function(*args)
         return self.total.summary(self.plan.duration_seconds)
 
-    def phases(self) -> list[tuple[float, Summary]]:
+    def phases(self) -> list[tuple[float, figures.Summary]]:
         """Return the figures of each phase, which begins at a fault."""
         ends = [*self.boundaries[1:], self.plan.duration_seconds]
         return [
@@ -407,7 +157,7 @@
         if not self._is_over() or any(len(item.queue) for item in self.dispatchers):
             self.after(TICK_SECONDS, self._tick)
 
-    def _report(self, item: FakeEngine) -> None:
+    def _report(self, item: fake_engine.FakeEngine) -> None:
         if not self._is_over():
             self.after(self.feedback.report_seconds, self._report, item)
         if not item.is_up:
@@ -487,7 +237,7 @@
         """Send a request to the engine that was chosen."""
         self._count(arrival, "attempts")
         self.attempts[arrival.number] += 1
-        job = Job(arrival, assignment.request, assignment, router)
+        job = fake_engine.Job(arrival, assignment.request, assignment, router)
         self.after(NETWORK_SECONDS, self.engines[assignment.endpoint.name].accept, job)
 
     def refused(self, arrival: traffic.Arrival, router: int, error: errors.RequestError) -> None:
@@ -496,7 +246,7 @@
         self._count(arrival, "failed" if self.attempts[arrival.number] else "shed")
         self._ended(router, arrival)
 
-    def count_prompt(self, job: Job, missing: int) -> None:
+    def count_prompt(self, job: fake_engine.Job, missing: int) -> None:
         """Count the tokens of a prompt that an engine computes."""
         fresh = [key for key in job.assignment.variant.chain if key not in self.seen]
         again = [key for key in job.assignment.variant.chain if key in self.lost]
@@ -509,7 +259,7 @@
         self._count(job.arrival, "computed_tokens", missing)
         self._count(job.arrival, "compulsory_tokens", compulsory)
 
-    def first_token(self, job: Job) -> None:
+    def first_token(self, job: fake_engine.Job) -> None:
         """Record the first token of a request."""
         seconds = self.clock.monotonic() - job.arrival.at
         if job.arrival.number not in self.started:
@@ -520,7 +270,7 @@
                 self._count(job.arrival, "good")
         self._handle(job.router, messages.FirstPart(job.assignment, seconds))
 
-    def answered(self, job: Job, incarnation: str) -> None:
+    def answered(self, job: fake_engine.Job, incarnation: str) -> None:
         """Count a whole answer."""
         self._count(job.arrival, "answered")
         ended = messages.AttemptEnded(
@@ -529,7 +279,7 @@
         self._handle(job.router, ended)
         self._ended(job.router, job.arrival)
 
-    def attempt_failed(self, job: Job, error: errors.EndpointError) -> None:
+    def attempt_failed(self, job: fake_engine.Job, error: errors.EndpointError) -> None:
         """Try a request again elsewhere."""
         self._handle(job.router, messages.AttemptEnded(job.assignment, error))
         name = job.assignment.endpoint.name
@@ -544,7 +294,7 @@
     def _ended(self, router: int, arrival: traffic.Arrival) -> None:
         self._handle(router, messages.RequestEnded(self._request(arrival)))
 
-    def _of(self, arrival: traffic.Arrival) -> tuple[Recorder, Recorder]:
+    def _of(self, arrival: traffic.Arrival) -> tuple[figures.Recorder, figures.Recorder]:
         phase = sum(1 for start in self.boundaries if start <= arrival.at) - 1
         return self.total, self.recorders[phase]
 
@@ -568,7 +318,7 @@
         elif fault.kind == "herd-restart":
             self._restart_routers()
 
-    def _note_losses(self, crashed: FakeEngine) -> None:
+    def _note_losses(self, crashed: fake_engine.FakeEngine) -> None:
         """Remember the pieces whose only copy is at an engine that crashes."""
         others = [item for item in self.engines.values() if item is not crashed]
         held = (key for key in crashed.cache if not any(key in item.cache for item in others))
--- a/bronzemux/reports.py
+++ b/bronzemux/reports.py
@@ -4,7 +4,7 @@
 import pathlib
 from collections.abc import Sequence
 
-from bronzemux import replay
+from bronzemux import figures, replay
 
 COLUMNS = (
     ("policy", 15),
@@ -26,9 +26,9 @@
 PLOT_DPI = 100
 
 
-def cells(summary: replay.Summary) -> list[str]:
+def cells(summary: figures.Summary) -> list[str]:
     """Return the cells of one row."""
-    first = [f"{summary.first_token[p]:.3f}" for p in replay.PERCENTILES]
+    first = [f"{summary.first_token[p]:.3f}" for p in figures.PERCENTILES]
     return [
         summary.policy,
         str(summary.answered),
@@ -44,7 +44,7 @@
     ]
 
 
-def table(rows: Sequence[replay.Summary]) -> str:
+def table(rows: Sequence[figures.Summary]) -> str:
     """Return a table of whole runs."""
     lines = ["  ".join(name.rjust(width) for name, width in COLUMNS)]
     for row in rows:
@@ -85,7 +85,7 @@
     return json.dumps(result, indent=2)
 
 
-def _fields(summary: replay.Summary) -> dict:
+def _fields(summary: figures.Summary) -> dict:
     return {
         **vars(summary),
         "hit_rate": summary.hit_rate,
--- a/bronzemux/rollout.py
+++ b/bronzemux/rollout.py
@@ -64,6 +64,11 @@
     started: float
 
 
+@dataclasses.dataclass(frozen=True)
+class ReleaseLeases:
+    """Ask for all leases to be given back, before a planned stop."""
+
+
 @dataclasses.dataclass(frozen=True)
 class OrderEnded:
     """An order was answered, or failed."""
@@ -122,6 +127,18 @@
                 for number in range(self.document.deployment.weight_loads)
             ]
 
+    @handle.register
+    def _release_leases(self, message: ReleaseLeases) -> None:
+        """Give leases back; an order that is under way keeps its own and its load slot."""
+        self.document = None
+        if self.steps:
+            return
+        for item in (*self.leases.values(), *self.slots):
+            try:
+                item.release()
+            except errors.PlatformError as error:
+                logs.event("lease_kept", "debug", cause=error.message)
+
     @handle.register
     def _order_ended(self, message: OrderEnded) -> None:
         """End a step that failed; one whose answer was lost may still load weights."""
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -179,7 +179,8 @@
         self.mesh.send(mesh.Drain())
         logs.event("router_draining", router=self.settings.name, in_flight=self.status.in_flight)
         limit = self.clock.monotonic() + self.settings.drain_seconds
-        while self.status.in_flight and self.clock.monotonic() < limit:
+        self.rollout.send(rollout.ReleaseLeases())
+        while self._is_busy() and self.clock.monotonic() < limit:
             self.clock.sleep(DRAIN_POLL_SECONDS)
         left = self.status.in_flight
         self.server.stop(timeout=1)
@@ -188,6 +189,10 @@
         logs.event("router_stopped", level, router=self.settings.name, left_requests=left)
         return left
 
+    def _is_busy(self) -> bool:
+        """Return whether requests run or writes of claims are pending."""
+        return bool(self.status.in_flight or self.settler.pending)
+
     def crash(self) -> None:
         """End at once, as a lost VM does."""
         self.server.abort()
--- a/bronzemux/watcher.py
+++ b/bronzemux/watcher.py
@@ -1,7 +1,11 @@
 """Tasks that watch endpoints, the configuration head and the VM list."""
 
+import dataclasses
+import functools
 import random
 
+import gevent
+
 from bronzemux import clock as clocks
 from bronzemux import (
     config,
@@ -79,6 +83,19 @@
         self.target.send(messages.EndpointAlive(endpoint.name))
 
 
+@dataclasses.dataclass(frozen=True)
+class Polled:
+    """Result of reading the configuration from the platform.
+
+    Attributes:
+      head: A newer head, None when there is none.
+      error: Why it could not be read, or None.
+    """
+
+    head: config_store.Head | None
+    error: errors.BronzemuxError | None
+
+
 class ConfigWatcher(supervisor.Task):
     """Keeps the newest configuration; versions only rise.
 
@@ -100,27 +117,49 @@
         self.rejected = 0
         self.backoff = CONFIG_SECONDS
         self.is_relay = True
+        self.is_polling = False
+
+    @functools.singledispatchmethod
+    def handle(self, message):
+        """Handle one message."""
+        return super().handle(message)
 
-    def handle(self, message: config_store.Head) -> None:
+    @handle.register
+    def _head(self, message: config_store.Head) -> None:
         """Take a head that a peer sent."""
         self.offer(message)
 
-    def tick(self) -> None:
-        """Read the head from the platform."""
+    @handle.register
+    def _polled(self, message: Polled) -> None:
+        """Take the result of a reading and plan the next one."""
+        self.is_polling = False
         period = CONFIG_SECONDS if self.is_relay else CONFIG_SLOW_SECONDS
-        try:
-            newest = self.store.newest_version()
-            if newest > max(self.version, self.rejected):
-                self.offer(self.store.version(newest))
+        if message.error is None:
             self.backoff = period
-            self.meters.platform_calls.labels("config", "ok").inc()
-        except (errors.PlatformError, errors.NotFoundError) as error:
+            if message.head is not None:
+                self.offer(message.head)
+        else:
             self.backoff = min(BACKOFF_LIMIT_SECONDS, max(period, self.backoff * 2))
-            self.meters.platform_calls.labels("config", "error").inc()
-            logs.event("config_read_failed", "debug", cause=error.message)
+            logs.event("config_read_failed", "debug", cause=message.error.message)
+        result = "ok" if message.error is None else "error"
+        self.meters.platform_calls.labels("config", result).inc()
         spread = 1 + JITTER * (2 * self.random.random() - 1)
         self.next_tick = self.clock.monotonic() + self.backoff * spread
 
+    def tick(self) -> None:
+        """Read the head from the platform, beside this task, which goes on taking peers' heads."""
+        if not self.is_polling:
+            self.is_polling = True
+            gevent.spawn(self._poll, max(self.version, self.rejected))
+
+    def _poll(self, known: int) -> None:
+        try:
+            newest = self.store.newest_version()
+            head = self.store.version(newest) if newest > known else None
+            self.send(Polled(head, None))
+        except (errors.PlatformError, errors.NotFoundError) as error:
+            self.send(Polled(None, error))
+
     def offer(self, head: config_store.Head) -> bool:
         """Put a head in force when it is newer.
 
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from bronzemux import config, replay, replicas, traffic
+from bronzemux import config, figures, replay, replicas, traffic
 from features import support
 
 PRODUCT = "reuse-and-load"
@@ -32,7 +32,7 @@
     return run
 
 
-def total(run: replay.Replay) -> replay.Summary:
+def total(run: replay.Replay) -> figures.Summary:
     """Return the figures of a whole run."""
     return run.total.summary(run.plan.duration_seconds)
 
