Answer what an engine rejects with its reason, and let no such request eject engines

An engine's 4xx answer counted as a failed attempt: it ejected the engine, was tried again elsewhere and ended as 502, so that one team's bad parameter could eject every engine. A difference of configurations that did not fit was asked for again and again. Requests whose attempts broke off were remembered without bound and blamed at any later death. Change: a rejected request ends at once with the engine's reason and ejects nothing; after a difference that does not fit the whole head is asked for; lost requests are bounded and count for 30 s. Measured: new scenarios, rejected request and other base bytes, pass.

--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -30,6 +30,8 @@
 SHARE_EWMA_WEIGHT = 0.05
 MIN_RETRY_AFTER_SECONDS = 0.2
 REFUSAL_RETRY_SECONDS = 1.0
+MAX_LOST = 1_000
+LOST_SECONDS = 30.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,7 +82,7 @@
         self.budget = retries.RetryBudget()
         self.quarantine = quarantine.Quarantine()
         self.running: dict[str, dict[str, requests.Request]] = {}
-        self.lost: dict[str, dict[str, str]] = {}
+        self.lost: dict[str, dict[str, tuple[str, float]]] = {}
         self.preferences = preferences.Preferences()
         self.random = random.Random(self.settings.data_centre)
         self.counted: set[str] = set()
@@ -438,15 +440,21 @@
         error, assignment = message.error, message.assignment
         name = assignment.endpoint.name
         self.meters.attempt_failures.labels(type(error).__name__).inc()
-        if isinstance(error, errors.EndpointRefusedError):
+        if isinstance(error, errors.EndpointRefusedError | errors.EndpointRejectedError):
             return
         now = self.clock.monotonic()
         is_dead = isinstance(error, errors.EndpointUnreachableError)
         if self.fleet.fail(name, now, is_dead):
             logs.event("endpoint_ejected", "warning", endpoint=name, cause=type(error).__name__)
         if not is_dead:
-            fingerprint = assignment.request.fingerprint
-            self.lost.setdefault(name, {})[assignment.request.head.id] = fingerprint
+            self._note_lost(name, assignment.request, now)
+
+    def _note_lost(self, name: str, request: requests.Request, now: float) -> None:
+        """Remember a request whose attempt broke off, in case the endpoint turns out dead."""
+        lost = self.lost.setdefault(name, {})
+        lost[request.head.id] = (request.fingerprint, now)
+        while len(lost) > MAX_LOST:
+            del lost[next(iter(lost))]
 
     def _see_incarnation(self, name: str, incarnation: str) -> None:
         state = self.fleet.states.get(name)
@@ -458,9 +466,10 @@
     def _bury(self, name: str, incarnation: str) -> None:
         """Drop the cache entries of a process that died, and suspect what ran on it."""
         self.index.forget(name)
-        prints = set(self.lost.pop(name, {}).values())
-        prints |= {request.fingerprint for request in self.running.get(name, {}).values()}
         now = self.clock.monotonic()
+        lost = self.lost.pop(name, {}).values()
+        prints = {fingerprint for fingerprint, at in lost if now - at < LOST_SECONDS}
+        prints |= {request.fingerprint for request in self.running.get(name, {}).values()}
         fresh = self.quarantine.record_death(name, incarnation, prints, now)
         if fresh:
             self.meters.quarantined.inc(len(fresh))
--- a/bronzemux/engine_http.py
+++ b/bronzemux/engine_http.py
@@ -18,6 +18,7 @@
 OUTCOME_NOT_RUN = "not-run"
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
+HTTP_SERVER_ERROR = 500
 MAX_ERROR_BYTES = 500
 MAX_IDLE_CONNECTIONS = 32
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (.*)\n\n\Z", re.DOTALL)
@@ -245,4 +246,6 @@
         return errors.EndpointUnknownRequestError(
             message, "start the request again if it is idempotent"
         )
+    if status < HTTP_SERVER_ERROR:
+        return errors.EndpointRejectedError(message, "correct the request", status)
     return errors.EndpointFailedError(message, "read the endpoint's logs", status)
--- a/bronzemux/errors.py
+++ b/bronzemux/errors.py
@@ -136,6 +136,10 @@
         self.status = status
 
 
+class EndpointRejectedError(EndpointFailedError):
+    """The endpoint finds fault with the request itself; another one would too."""
+
+
 class EndpointUnknownRequestError(EndpointError):
     """The endpoint does not know the request whose answer was asked for."""
 
@@ -175,6 +179,22 @@
     kind = "invalid_request_error"
 
 
+class RejectedByEndpointError(RequestError):
+    """The endpoint finds fault with the request.
+
+    Args:
+      message: What the endpoint answered.
+      remedy: What the caller can do.
+      status: HTTP status of the endpoint's answer.
+    """
+
+    kind = "invalid_request_error"
+
+    def __init__(self, message: str, remedy: str, status: int):
+        super().__init__(message, remedy, outcome=Outcome.UNKNOWN)
+        self.status = status
+
+
 class AuthenticationFailedError(RequestError):
     """The key is missing or unknown."""
 
--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -136,6 +136,10 @@
         self.excluded |= {assignment.endpoint.name}
         self.last_failure = error
         is_safe = head.workload.idempotent or not self.may_have_run
+        if isinstance(error, errors.EndpointRejectedError):
+            raise errors.RejectedByEndpointError(
+                error.message, "correct the request", error.status
+            ) from error
         if isinstance(error, errors.EndpointRefusedError):
             self.refusals += 1
         failures = self.attempts - self.refusals
@@ -255,6 +259,8 @@
             if error.outcome is errors.Outcome.NOT_RUN:
                 raise
             self.may_have_run = True
+            if isinstance(error, errors.EndpointFailedError):
+                raise
             if isinstance(error, errors.EndpointProtocolError):
                 self.tools.meters.dropped_answers.inc()
             return self._resume(target, job.request_id, 0, assignment, error)
--- a/bronzemux/mesh.py
+++ b/bronzemux/mesh.py
@@ -144,6 +144,7 @@
         self.peers: dict[str, Peer] = {}
         self.heads: dict[int, bytes] = {}
         self.head_version = 0
+        self.needs_whole = False
         self.keeper = shares.ShareKeeper()
         self.holder = shares.ShareHolder()
         self.used: dict[str, float] = {}
@@ -263,7 +264,8 @@
         if now - self.asked.get(address, -RECONNECT_SECONDS) < RECONNECT_SECONDS:
             return
         self.asked[address] = now
-        self._send(address, wire.ConfigRequest(self.membership.own, self.head_version))
+        have = 0 if self.needs_whole else self.head_version
+        self._send(address, wire.ConfigRequest(self.membership.own, have))
 
     @handle.register
     def _config_request(self, message: wire.ConfigRequest) -> None:
@@ -284,14 +286,13 @@
     @handle.register
     def _config_delta(self, message: wire.ConfigDelta) -> None:
         base = self.heads.get(message.base)
-        if base is None:
-            return
         try:
+            if base is None:
+                raise config_delta.DeltaError("the base is unknown", "ask for the whole")
             self._offer(config_delta.apply(message, base))
         except config_delta.DeltaError as error:
             logs.event("config_delta_refused", "warning", cause=error.message)
-            self.head_version = min(self.head_version, message.base)
-            self.heads.pop(message.base, None)
+            self.needs_whole = True
 
     def _offer(self, content: bytes) -> None:
         try:
@@ -304,6 +305,7 @@
         if message.head.version <= self.head_version:
             return
         self.head_version = message.head.version
+        self.needs_whole = False
         self.heads[self.head_version] = config_store.encode(message.head)
         for version in sorted(self.heads)[:-KEPT_HEADS]:
             del self.heads[version]
--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -20,6 +20,7 @@
 KEPT_EVENTS = 50_000
 SUMMARY_LENGTH = 8
 TAIL_BYTES = 24
+MAX_TEMPERATURE = 2
 HTTP_CONFLICT = 409
 
 
@@ -310,6 +311,8 @@
         if self.faults.refuses or self.weights.get(body.get("model")) != weights:
             headers = [(engine_http.HEADER_OUTCOME, engine_http.OUTCOME_NOT_RUN)]
             return http_server.respond(start_response, 503, b'{"error":"refused"}', headers)
+        if body.get("temperature", 0) > MAX_TEMPERATURE:
+            return http_server.respond(start_response, 400, b'{"error":"temperature above 2"}')
         request_id = environ["HTTP_X_REQUEST_ID"]
         work = self.works.get(request_id)
         if work is None:
--- a/features/callers.feature
+++ b/features/callers.feature
@@ -61,6 +61,14 @@
       | a filing with an unusable key | 400    | invalid_request_error |
       | an unknown workload           | 403    | permission_error      |
 
+  Scenario: A request that the engine itself rejects harms nobody else
+    When bad input arrives: a temperature above the engine's limit
+    Then the status is 400 and the error is "invalid_request_error"
+    And no endpoint ran anything
+    And every engine is available
+    And team "lawyers" streams a chat through router 1
+    And the answer is one whole answer of 16 words
+
   Scenario: A caller that sends its body too slowly
     Given routers wait 0.2 seconds for a body
     When a caller sends half of its body and waits
--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -11,6 +11,12 @@
     When preset "peak" is accepted and only router 1 learns of it before the platform goes down
     Then every router has version 2 and preset "peak" in force
 
+  Scenario: A router whose difference does not fit gets the whole configuration
+    Given a development deployment "centre" with 2 routers
+    And router 2 holds other bytes for version 1
+    When preset "peak" is accepted and only router 1 learns of it before the platform goes down
+    Then every router has version 2 and preset "peak" in force
+
   Scenario: A restarted router serves at once while the platform is down
     Given a development deployment "centre" with 3 routers
     When preset "peak" is put in force at the table service
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -43,6 +43,7 @@
         "an unknown service": ("GET", "/services/none/x", key, b"", {}),
         "a filing without a key": (*filing, {}),
         "a filing with an unusable key": (*filing, {"Idempotency-Key": "a b"}),
+        "a temperature above the engine's limit": (*post, chat(temperature=99), {}),
         "a plain chat": (*post, chat(), {}),
         "a chat with a deadline of 0.5 seconds": (*post, chat(), {"X-Deadline-Seconds": "0.5"}),
         "an unknown workload": (*post, chat(), {"X-Workload": "none"}),
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -34,6 +34,11 @@
     context.deployment.routers[0].config_watcher.send(head)
 
 
+@given("router 2 holds other bytes for version 1")
+def step_other_bytes(context):
+    context.deployment.routers[1].mesh.heads[1] = b"other"
+
+
 @when("the platform goes down")
 def step_down(context):
     streams_steps.wait_for(
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -84,6 +84,11 @@
     wait_for(lambda: not any(is_available(context, engine) for engine in engines(context)))
 
 
+@then("every engine is available")
+def step_available(context):
+    assert all(is_available(context, engine) for engine in engines(context))
+
+
 def is_available(context, engine) -> bool:
     """Return whether router 1 holds an engine for available."""
     owner = context.deployment.routers[0]
