Give refusals as not run their own budget, and pause an endpoint that refuses

Cause: a run of all tests in a fresh clone failed once: during a rollout a chat got 503. Trace: each engine that loads weights refuses the requests that were on their way; these refusals used up the three retries that a router with little traffic has in 10 s. Excluded: the attempts limit (refusals do not count). A second run failed once because the development deployment called itself ready when it had seen any two VMs, not two routers. Change: refusals have a budget of one for each request, at least 20 in 10 s; an endpoint that refuses gets nothing for 0.3 s, until its next report; an attempt whose caller left is a kind of its own and pauses nothing; readiness counts routers. The stand-in engine is split into engine, cache and answer.

--- a/bronzemux/development.py
+++ b/bronzemux/development.py
@@ -10,6 +10,7 @@
     engine,
     router,
     settings,
+    standin_cache,
     standin_engine,
     standin_platform,
     standin_service,
@@ -56,7 +57,7 @@
         self.settings = development_settings
         self.clock = clock
         self.platform = standin_platform.StandinPlatform(clock)
-        self.loads = standin_engine.LoadCounter()
+        self.loads = standin_cache.LoadCounter()
         self.engines: dict[str, standin_engine.StandinEngine] = {}
         self.services: dict[str, standin_service.StandinService] = {}
         self.routers: list[router.Router] = []
@@ -160,7 +161,8 @@
         """Return whether a router has a configuration, its peers and reports of all engines."""
         states = item.dispatcher.fleet.states
         seen = [name for name in self.engines if name in states and states[name].incarnation]
-        has_vms = self.platform.faults.is_down or len(item.status.listed) >= len(self.routers)
+        listed = sum(vm.role == "router" for vm in item.status.listed)
+        has_vms = self.platform.faults.is_down or listed >= len(self.routers)
         knows_peers = len(item.mesh.membership.alive()) >= len(self.routers)
         is_configured = item.status.snapshot is not None
         return is_configured and len(seen) == len(self.engines) and has_vms and knows_peers
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -30,6 +30,9 @@
 SHARE_EWMA_WEIGHT = 0.05
 MIN_RETRY_AFTER_SECONDS = 0.2
 REFUSAL_RETRY_SECONDS = 1.0
+REFUSAL_RATIO = 1.0
+MIN_REFUSALS_PER_WINDOW = 20
+REFUSAL_PAUSE_SECONDS = 0.3
 MAX_LOST = 1_000
 LOST_SECONDS = 30.0
 
@@ -80,6 +83,7 @@
         self.queue = admission.FairQueue(limit=1)
         self.limits = limits.TeamLimits()
         self.budget = retries.RetryBudget()
+        self.refusal_budget = retries.RetryBudget(MIN_REFUSALS_PER_WINDOW)
         self.quarantine = quarantine.Quarantine()
         self.running: dict[str, dict[str, requests.Request]] = {}
         self.lost: dict[str, dict[str, tuple[str, float]]] = {}
@@ -256,13 +260,22 @@
         if self.quarantine.is_condemned(request.fingerprint, now):
             raise _quarantined(request.fingerprint)
         if message.is_retry:
-            self._check_retry(now)
+            self._check_retry(message, now)
         else:
             self._count_new(request, now)
         return self._ticket(message, now)
 
-    def _check_retry(self, now: float) -> None:
-        if not self.budget.try_retry(self.snapshot.preset.retry_ratio, now):
+    def _check_retry(self, message: messages.Admit, now: float) -> None:
+        """Take a retry out of its budget; refusals as not run, which cost little, have their own.
+
+        Raises:
+          errors.OverloadedError: When the budget is used up.
+        """
+        if message.was_refused:
+            is_granted = self.refusal_budget.try_retry(REFUSAL_RATIO, now)
+        else:
+            is_granted = self.budget.try_retry(self.snapshot.preset.retry_ratio, now)
+        if not is_granted:
             self.meters.retries_refused.inc()
             raise errors.OverloadedError(
                 "the retry budget is used up", "send again after Retry-After", REFUSAL_RETRY_SECONDS
@@ -273,6 +286,7 @@
         self.limits.admit(request.head.team, token_cost(request), now)
         self.counted.add(request.head.id)
         self.budget.request(now)
+        self.refusal_budget.request(now)
 
     def _ticket(self, message: messages.Admit, now: float) -> admission.Ticket:
         request = message.request
@@ -440,9 +454,12 @@
         error, assignment = message.error, message.assignment
         name = assignment.endpoint.name
         self.meters.attempt_failures.labels(type(error).__name__).inc()
-        if isinstance(error, errors.EndpointRefusedError | errors.EndpointRejectedError):
+        if isinstance(error, errors.EndpointRejectedError | errors.EndpointAbandonedError):
             return
         now = self.clock.monotonic()
+        if isinstance(error, errors.EndpointRefusedError):
+            self.fleet.pause(name, now + REFUSAL_PAUSE_SECONDS)
+            return
         is_dead = isinstance(error, errors.EndpointUnreachableError)
         if self.fleet.fail(name, now, is_dead):
             logs.event("endpoint_ejected", "warning", endpoint=name, cause=type(error).__name__)
--- a/bronzemux/errors.py
+++ b/bronzemux/errors.py
@@ -110,6 +110,10 @@
     outcome = Outcome.NOT_RUN
 
 
+class EndpointAbandonedError(EndpointError):
+    """The attempt was given up because its caller left; the endpoint is not at fault."""
+
+
 class EndpointLostError(EndpointError):
     """The connection broke after bytes of the request were sent."""
 
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -239,6 +239,12 @@
         state.is_dead = state.is_dead or is_dead
         return True
 
+    def pause(self, name: str, until: float) -> None:
+        """Give an endpoint that refused work none for a moment, until its next report."""
+        state = self.touch(name)
+        if state is not None:
+            state.ejected_until = max(state.ejected_until, until)
+
     def _may_eject(self, now: float) -> bool:
         ejected = sum(1 for state in self.states.values() if state.ejected_until > now)
         return ejected + 1 <= max(1, self.preset.ejection_limit * len(self.states))
--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -85,7 +85,14 @@
         """
         reply = event.AsyncResult()
         is_retry = self.attempts > 0
-        admit = messages.Admit(self.request, reply, self.excluded, self.weights_version, is_retry)
+        admit = messages.Admit(
+            self.request,
+            reply,
+            self.excluded,
+            self.weights_version,
+            is_retry,
+            isinstance(self.last_failure, errors.EndpointRefusedError),
+        )
         self.tools.dispatcher.send(admit)
         wait = self.request.head.deadline - self.tools.clock.monotonic()
         try:
@@ -115,7 +122,7 @@
 
         def give_back(result: event.AsyncResult) -> None:
             if result.successful():
-                refused = errors.EndpointRefusedError(
+                refused = errors.EndpointAbandonedError(
                     "the caller left before the start", "none needed"
                 )
                 self.end(result.value, refused)
@@ -227,7 +234,7 @@
             if self.sent:
                 self.tools.meters.continued.inc()
         except GeneratorExit:
-            failure = errors.EndpointRefusedError("the caller left", "none needed")
+            failure = errors.EndpointAbandonedError("the caller left", "none needed")
             self._cancel(assignment)
             raise
         finally:
--- a/bronzemux/messages.py
+++ b/bronzemux/messages.py
@@ -46,6 +46,7 @@
       excluded: Endpoints that failed for this request.
       weights_version: Version that must go on with an answer, or empty.
       is_retry: Whether an attempt was made before.
+      was_refused: Whether the last attempt was refused as not run.
     """
 
     request: requests.Request
@@ -53,6 +54,7 @@
     excluded: frozenset[str] = frozenset()
     weights_version: str = ""
     is_retry: bool = False
+    was_refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzemux/retries.py
+++ b/bronzemux/retries.py
@@ -7,9 +7,14 @@
 
 
 class RetryBudget:
-    """Sliding-window budget shared by all requests of one router."""
+    """Sliding-window budget shared by all requests of one router.
 
-    def __init__(self):
+    Args:
+      least: Retries granted in a window whatever the number of requests.
+    """
+
+    def __init__(self, least: int = MIN_RETRIES_PER_WINDOW):
+        self.least = least
         self.requests: collections.deque[float] = collections.deque()
         self.retries: collections.deque[float] = collections.deque()
 
@@ -34,7 +39,7 @@
           Whether the retry may be sent.
         """
         self._forget(now)
-        allowed = max(MIN_RETRIES_PER_WINDOW, ratio * len(self.requests))
+        allowed = max(self.least, ratio * len(self.requests))
         if len(self.retries) + 1 > allowed:
             return False
         self.retries.append(now)
--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -3,8 +3,6 @@
 import collections
 import dataclasses
 import hashlib
-import heapq
-import itertools
 import json
 import urllib.parse
 from collections.abc import Iterator
@@ -13,11 +11,18 @@
 from gevent import event
 
 from bronzemux import clock as clocks
-from bronzemux import engine, engine_http, http_server, prefix, prompt
+from bronzemux import (
+    engine,
+    engine_http,
+    http_server,
+    prefix,
+    prompt,
+    standin_answer,
+    standin_cache,
+)
 
 DEFAULT_MAX_TOKENS = 16
 KEPT_WORKS = 2000
-KEPT_EVENTS = 50_000
 SUMMARY_LENGTH = 8
 TAIL_BYTES = 24
 MAX_TEMPERATURE = 2
@@ -103,108 +108,6 @@
     tail: str
 
 
-class Cache:
-    """Prefix cache with least-recently-used eviction and an event log.
-
-    Args:
-      capacity: Pieces that it holds.
-    """
-
-    def __init__(self, capacity: int):
-        self.capacity = capacity
-        self.keys: collections.OrderedDict[int, None] = collections.OrderedDict()
-        self.events: collections.deque[tuple[int, int, bool]] = collections.deque(
-            maxlen=KEPT_EVENTS
-        )
-        self.sequence = itertools.count(1)
-        self.last = 0
-
-    def lookup(self, chain: tuple[int, ...]) -> int:
-        """Return the number of leading pieces that are held, and mark them as used."""
-        held = 0
-        for key in chain:
-            if key not in self.keys:
-                break
-            self.keys.move_to_end(key)
-            held += 1
-        return held
-
-    def store(self, chain: tuple[int, ...]) -> None:
-        """Put pieces in; the least recently used go."""
-        for key in chain:
-            if key not in self.keys:
-                self._note(key, True)
-            self.keys[key] = None
-            self.keys.move_to_end(key)
-        while len(self.keys) > self.capacity:
-            key, _ = self.keys.popitem(last=False)
-            self._note(key, False)
-
-    def _note(self, key: int, is_stored: bool) -> None:
-        self.last = next(self.sequence)
-        self.events.append((self.last, key, is_stored))
-
-
-class PrefillQueue:
-    """Order in which prompts are computed: by priority, then arrival."""
-
-    def __init__(self):
-        self.waiting: list[tuple[int, int, event.Event]] = []
-        self.counter = itertools.count()
-        self.is_busy = False
-
-    def acquire(self, priority: int) -> None:
-        """Wait for the turn."""
-        if not self.is_busy:
-            self.is_busy = True
-            return
-        turn = event.Event()
-        heapq.heappush(self.waiting, (priority, next(self.counter), turn))
-        turn.wait()
-
-    def release(self) -> None:
-        """Pass the turn on."""
-        if self.waiting:
-            heapq.heappop(self.waiting)[2].set()
-        else:
-            self.is_busy = False
-
-
-@dataclasses.dataclass
-class Work:
-    """A job and the parts of its answer so far."""
-
-    request_id: str
-    path: str
-    body: dict
-    chain: tuple[int, ...]
-    tokens: int
-    priority: int
-    continue_text: str
-    parts: list[bytes] = dataclasses.field(default_factory=list)
-    changed: event.Event = dataclasses.field(default_factory=event.Event)
-    is_done: bool = False
-    is_cancelled: bool = False
-
-    def append(self, data: bytes) -> None:
-        """Add a part and wake the readers."""
-        self.parts.append(data)
-        self.is_done = data == engine.DONE
-        self.changed.set()
-        self.changed.clear()
-
-    def read(self, offset: int) -> Iterator[bytes]:
-        """Iterate over events from a part on, waiting for new ones."""
-        number = offset
-        while True:
-            while number < len(self.parts):
-                yield engine_http.encode_event(number, self.parts[number])
-                number += 1
-            if self.is_done or self.is_cancelled:
-                return
-            self.changed.wait()
-
-
 class StandinEngine:
     """Engine that answers with reproducible words.
 
@@ -222,9 +125,9 @@
         self,
         settings: StandinSettings,
         clock: clocks.Clock,
-        loads: "LoadCounter | None" = None,
+        loads: standin_cache.LoadCounter | None = None,
     ):
-        self.loads = loads or LoadCounter()
+        self.loads = loads or standin_cache.LoadCounter()
         self.most_loading = 0
         self.settings = settings
         self.clock = clock
@@ -245,9 +148,9 @@
     def _reset(self) -> None:
         digest = hashlib.sha256(f"{self.settings.name}/{self.restarts}".encode()).hexdigest()
         self.incarnation = digest[:SUMMARY_LENGTH]
-        self.cache = Cache(self.settings.cache_pieces)
-        self.works: collections.OrderedDict[str, Work] = collections.OrderedDict()
-        self.prefill = PrefillQueue()
+        self.cache = standin_cache.Cache(self.settings.cache_pieces)
+        self.works: collections.OrderedDict[str, standin_answer.Work] = collections.OrderedDict()
+        self.prefill = standin_cache.PrefillQueue()
         self.running = 0
         self.waiting = 0
         self.greenlets: set[gevent.Greenlet] = set()
@@ -319,14 +222,14 @@
             work = self._new_work(environ, body, request_id, continue_text)
         return self._answer(environ, start_response, work, 0)
 
-    def _new_work(self, environ, body, request_id: str, continue_text: str) -> Work:
+    def _new_work(self, environ, body, request_id: str, continue_text: str) -> standin_answer.Work:
         text = prompt.render(environ["PATH_INFO"], body)
         seed = bytes.fromhex(environ.get("HTTP_X_CACHE_SALT", ""))
         chain = prefix.chain(seed, text, self.settings.piece_bytes)
         tokens = prompt.token_estimate(text)
         priority = int(environ.get("HTTP_X_PRIORITY", 5))
         path = environ["PATH_INFO"]
-        work = Work(request_id, path, body, chain, tokens, priority, continue_text)
+        work = standin_answer.Work(request_id, path, body, chain, tokens, priority, continue_text)
         self.works[request_id] = work
         while len(self.works) > KEPT_WORKS:
             self.works.popitem(last=False)
@@ -343,7 +246,7 @@
         greenlet.rawlink(self.greenlets.discard)
         return work
 
-    def _run(self, work: Work) -> None:
+    def _run(self, work: standin_answer.Work) -> None:
         self.waiting += 1
         self.prefill.acquire(work.priority)
         self.running += 1
@@ -358,7 +261,7 @@
         finally:
             self.running -= 1
 
-    def _compute_prompt(self, work: Work) -> int:
+    def _compute_prompt(self, work: standin_answer.Work) -> int:
         """Return the tokens that were cached."""
         if work.is_cancelled:
             return 0
@@ -373,7 +276,7 @@
         self.cache.store(work.chain)
         return cached
 
-    def _generate(self, work: Work, cached: int) -> None:
+    def _generate(self, work: standin_answer.Work, cached: int) -> None:
         total = int(
             work.body.get("max_completion_tokens")
             or work.body.get("max_tokens")
@@ -387,13 +290,13 @@
             self.clock.sleep(self.settings.token_seconds * self.faults.slowness)
             if work.is_cancelled:
                 return
-            word = style if position == 0 else answer_word(style, position)
+            word = style if position == 0 else standin_answer.answer_word(style, position)
             text = word if position == 0 else " " + word
             self._emit(work, {"content": text}, "length" if position + 1 == total else None)
         self._emit_usage(work, cached, total)
         work.append(engine.DONE)
 
-    def _emit(self, work: Work, delta: dict, finish: str | None) -> None:
+    def _emit(self, work: standin_answer.Work, delta: dict, finish: str | None) -> None:
         choice = {"index": 0, "finish_reason": finish}
         if work.path == prompt.CHAT_PATH:
             choice["delta"] = delta
@@ -401,7 +304,7 @@
             choice["text"] = delta.get("content", "")
         work.append(self._chunk(work, {"choices": [choice]}))
 
-    def _emit_usage(self, work: Work, cached: int, generated: int) -> None:
+    def _emit_usage(self, work: standin_answer.Work, cached: int, generated: int) -> None:
         usage = {
             "prompt_tokens": work.tokens,
             "completion_tokens": generated,
@@ -410,7 +313,7 @@
         }
         work.append(self._chunk(work, {"choices": [], "usage": usage}))
 
-    def _chunk(self, work: Work, fields: dict) -> bytes:
+    def _chunk(self, work: standin_answer.Work, fields: dict) -> bytes:
         kind = "chat.completion.chunk" if work.path == prompt.CHAT_PATH else "text_completion"
         created = int(self.clock.now().timestamp())
         chunk = {
@@ -421,7 +324,7 @@
         }
         return json.dumps(chunk | fields, ensure_ascii=False).encode()
 
-    def _answer(self, environ, start_response, work: Work, offset: int):
+    def _answer(self, environ, start_response, work: standin_answer.Work, offset: int):
         if self.faults.crossed_answers > 0:
             self.faults.crossed_answers -= 1
             work = self._other_work(work)
@@ -433,7 +336,7 @@
         start_response("200 OK", headers)
         return self._events(environ, work, offset)
 
-    def _other_work(self, work: Work) -> Work:
+    def _other_work(self, work: standin_answer.Work) -> standin_answer.Work:
         """Return the work of another request, whose answer crosses this one's."""
         others = [other for other in self.works.values() if other is not work]
         if others:
@@ -442,7 +345,7 @@
         other.append(engine.DONE)
         return other
 
-    def _events(self, environ, work: Work, offset: int) -> Iterator[bytes]:
+    def _events(self, environ, work: standin_answer.Work, offset: int) -> Iterator[bytes]:
         peer = (environ["REMOTE_ADDR"], int(environ["REMOTE_PORT"]))
         for number, chunk in enumerate(work.read(offset), offset):
             self._fail_after(number)
@@ -515,37 +418,6 @@
         return http_server.respond(start_response, 200, b"{}")
 
 
-class LoadCounter:
-    """Counts engines that load weights at the same time, over all engines."""
-
-    def __init__(self):
-        self.loading = 0
-
-    def change(self, step: int) -> int:
-        """Change the number and return it."""
-        self.loading += step
-        return self.loading
-
-
-def answer_word(style: str, position: int) -> str:
-    """Return the word of an answer at a position.
-
-    Args:
-      style: First word of the answer.
-      position: Position of the word, from 1.
-    """
-    digest = hashlib.blake2b(f"{style}/{position}".encode(), digest_size=3).hexdigest()
-    return f"{position}:{digest}"
-
-
-def is_whole_answer(text: str, count: int) -> bool:
-    """Return whether a text is one answer of `count` words, complete, in order and unmixed."""
-    words = text.split()
-    if len(words) != count or not words[0].startswith("<"):
-        return False
-    return all(word == answer_word(words[0], i) for i, word in enumerate(words) if i)
-
-
 def _query(environ) -> dict[str, str]:
     return dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
 
--- a/features/fault_run.py
+++ b/features/fault_run.py
@@ -14,7 +14,15 @@
 
 import gevent
 
-from bronzemux import clock, development, errors, http_client, standin_engine, standin_platform
+from bronzemux import (
+    clock,
+    development,
+    errors,
+    http_client,
+    standin_answer,
+    standin_engine,
+    standin_platform,
+)
 from features import support
 
 CHAT = "/v1/chat/completions"
@@ -201,7 +209,7 @@
         return "ran"
 
     def _check_text(self, caller: Caller, reply: support.Reply, text: str) -> None:
-        if not standin_engine.is_whole_answer(text, WORDS):
+        if not standin_answer.is_whole_answer(text, WORDS):
             self._violate("answer not whole", caller)
         elif "X-Idempotent-Replay" not in reply.headers:
             owner = text.split()[0].strip("<>").partition(".")[2].partition(".")[0]
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -3,7 +3,7 @@
 import gevent
 from behave import given, then, when
 
-from bronzemux import clock, config_edit, config_store, errors, porcelain, standin_engine
+from bronzemux import clock, config_edit, config_store, errors, porcelain, standin_answer
 from features import support
 from features.steps import callers_steps, streams_steps
 
@@ -124,7 +124,7 @@
 
 @then("the stream is one whole answer of {count:d} words")
 def step_stream_whole(context, count):
-    assert standin_engine.is_whole_answer(context.answers[-1][0], count), context.answers
+    assert standin_answer.is_whole_answer(context.answers[-1][0], count), context.answers
 
 
 @then("router {number:d} left {count:d} requests")
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from gevent import subprocess
 
-from bronzemux import engine_http, errors, http_client, standin_engine, vms
+from bronzemux import engine_http, errors, http_client, standin_answer, vms
 from features import support
 from features.steps import callers_steps, ctl_steps, streams_steps
 
@@ -161,7 +161,7 @@
     reply = support.send(process.address, "POST", callers_steps.CHAT, key, body)
     assert reply.status == 200, reply
     text = reply.json()["choices"][0]["message"]["content"]
-    assert standin_engine.is_whole_answer(text, 16), text
+    assert standin_answer.is_whole_answer(text, 16), text
 
 
 @when('process {number:d} is paused until process {other:d} holds "{name}" for dead')
@@ -209,7 +209,7 @@
 
 @then("the stream was whole")
 def step_whole(context):
-    assert standin_engine.is_whole_answer(context.stream, context.count), context.stream
+    assert standin_answer.is_whole_answer(context.stream, context.count), context.stream
 
 
 @then("process {number:d} exits with {status:d}")
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -3,7 +3,7 @@
 import gevent
 from behave import given, then, when
 
-from bronzemux import clock, config_store, engine, errors, lease, table
+from bronzemux import clock, config_store, engine, errors, lease, standin_answer, table
 from features import support
 from features.steps import streams_steps
 
@@ -171,9 +171,8 @@
 
 @then("all of them were whole")
 def step_all_whole(context):
-    from bronzemux import standin_engine
 
-    wrong = [text for text in context.texts if not standin_engine.is_whole_answer(text, 16)]
+    wrong = [text for text in context.texts if not standin_answer.is_whole_answer(text, 16)]
     assert not wrong, wrong
 
 
