Close the routers' listening socket only after its acceptor has ended

Cause: a run of all tests in a fresh clone was aborted by an assertion of libev (an I/O watcher with an invalid descriptor). Trace: at the end of the mesh task the listening socket was closed while the greenlet that accepts connections still waited for it. Change: the acceptor is ended first, then the server is shut down.

--- a/bronzemux/mesh.py
+++ b/bronzemux/mesh.py
@@ -209,11 +209,12 @@
         try:
             super().run()
         finally:
-            acceptor.kill(block=False)
+            # The listening socket is closed only when nothing waits for it any more.
+            acceptor.kill()
             self._close()
 
     def _close(self) -> None:
-        self.server.socket.close()
+        self.server.shutdown()
         self.server = None
         for peer in self.peers.values():
             peer.close()
