Accept peers with gevent's server, so that no watcher outlives its socket

Change: peers.PeerServer accepts with gevent's StreamServer; Peer and PeerServer leave mesh.py for peers.py. Before: a socket that takes over such a number never learned that its other end was reset (the new scenario "A peer server that was closed watches no descriptor any more" ends after 10 s with a timeout). After: passes. The abort itself was not brought about here; the same leftover watchers explain it.

--- a/bronzemux/mesh.py
+++ b/bronzemux/mesh.py
@@ -2,13 +2,6 @@
 
 import dataclasses
 import functools
-import socket
-
-import gevent
-import gevent.queue
-import websockets.exceptions
-from websockets.sync import client as websocket_client
-from websockets.sync import server as websocket_server
 
 from bronzemux import clock as clocks
 from bronzemux import (
@@ -19,6 +12,7 @@
     membership,
     messages,
     metrics,
+    peers,
     shares,
     signing,
     supervisor,
@@ -27,12 +21,8 @@
 )
 
 TICK_SECONDS = 0.1
-CONNECT_SECONDS = 1.0
-KEEPALIVE_SECONDS = 5.0
-RECONNECT_SECONDS = 1.0
-QUEUE_MESSAGES = 64
+ASK_SECONDS = 1.0
 KEPT_HEADS = 8
-CONNECTION_ERRORS = (OSError, TimeoutError, websockets.exceptions.WebSocketException)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,60 +58,6 @@
     vms: tuple[vms.Vm, ...]
 
 
-class Peer:
-    """Outgoing connection to one router; drops messages while it is out of reach.
-
-    Args:
-      address: IP number and port.
-      meters: Metrics of the router.
-    """
-
-    def __init__(self, address: str, meters: metrics.Metrics):
-        self.address = address
-        self.meters = meters
-        self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_MESSAGES)
-        self.greenlet = gevent.spawn(self._run)
-
-    def send(self, frame: bytes) -> None:
-        """Queue a frame; it is dropped when the queue is full."""
-        try:
-            self.queue.put_nowait(frame)
-        except gevent.queue.Full:
-            logs.event("peer_queue_full", "debug", peer=self.address)
-
-    def close(self) -> None:
-        """End the connection."""
-        self.greenlet.kill(block=False)
-
-    def _run(self) -> None:
-        while True:
-            first = self.queue.get()
-            try:
-                self._connect_and_send(first)
-            except CONNECTION_ERRORS as error:
-                logs.event("peer_lost", "debug", peer=self.address, cause=str(error))
-                gevent.sleep(RECONNECT_SECONDS)
-
-    def _connect_and_send(self, first: bytes) -> None:
-        host, _, port = self.address.rpartition(":")
-        sock = socket.create_connection((host, int(port)), CONNECT_SECONDS)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with websocket_client.connect(
-            f"ws://{self.address}/",
-            sock=sock,
-            open_timeout=CONNECT_SECONDS,
-            ping_interval=KEEPALIVE_SECONDS,
-            ping_timeout=KEEPALIVE_SECONDS,
-            compression=None,
-            max_size=wire.MAX_MESSAGE_BYTES,
-        ) as connection:
-            frame = first
-            while True:
-                connection.send(frame)
-                self.meters.mesh_bytes.labels("sent").inc(len(frame))
-                frame = self.queue.get()
-
-
 class Mesh(supervisor.Task):
     """Membership, spread of configuration, condemned requests and shares of limits.
 
@@ -141,7 +77,7 @@
         self.target = target
         self.offer = offer
         self.on_members = on_members
-        self.peers: dict[str, Peer] = {}
+        self.peers: dict[str, peers.Peer] = {}
         self.heads: dict[int, bytes] = {}
         self.head_version = 0
         self.needs_whole = False
@@ -152,7 +88,7 @@
         self.reported_at = 0.0
         self.asked: dict[str, float] = {}
         self.port = settings.peer_port
-        self.server: websocket_server.Server | None = None
+        self.server: peers.PeerServer | None = None
         self._listen()
         address = f"{settings.host}:{self.port}"
         boot = int(clock.now().timestamp() * 1000)
@@ -163,17 +99,8 @@
 
     def _listen(self) -> None:
         """Open the listening socket; the port stays the same when the task restarts."""
-        listener = socket.create_server((self.settings.host, self.port))
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.port = listener.getsockname()[1]
-        self.server = websocket_server.serve(
-            self._accept,
-            sock=listener,
-            ping_interval=KEEPALIVE_SECONDS,
-            ping_timeout=KEEPALIVE_SECONDS,
-            compression=None,
-            max_size=wire.MAX_MESSAGE_BYTES,
-        )
+        self.server = peers.PeerServer(self.settings.host, self.port, self._receive)
+        self.port = self.server.port
 
     @property
     def identity(self) -> str:
@@ -205,30 +132,23 @@
         """Accept connections and handle messages."""
         if self.server is None:
             self._listen()
-        acceptor = gevent.spawn(self.server.serve_forever)
+        self.server.start()
         try:
             super().run()
         finally:
-            # The listening socket is closed only when nothing waits for it any more.
-            acceptor.kill()
             self._close()
 
     def _close(self) -> None:
-        self.server.shutdown()
+        self.server.close()
         self.server = None
         for peer in self.peers.values():
             peer.close()
         self.peers.clear()
 
-    def _accept(self, connection) -> None:
-        """Read the frames of one incoming connection."""
-        try:
-            for frame in connection:
-                if isinstance(frame, bytes):
-                    self.meters.mesh_bytes.labels("received").inc(len(frame))
-                    self.send(Frame(frame))
-        except CONNECTION_ERRORS as error:
-            logs.event("peer_connection_ended", "debug", cause=str(error))
+    def _receive(self, frame: bytes) -> None:
+        """Queue a frame of another router."""
+        self.meters.mesh_bytes.labels("received").inc(len(frame))
+        self.send(Frame(frame))
 
     # Messages
 
@@ -262,7 +182,7 @@
 
     def _ask_config(self, address: str) -> None:
         now = self.clock.monotonic()
-        if now - self.asked.get(address, -RECONNECT_SECONDS) < RECONNECT_SECONDS:
+        if now - self.asked.get(address, -ASK_SECONDS) < ASK_SECONDS:
             return
         self.asked[address] = now
         have = 0 if self.needs_whole else self.head_version
@@ -399,6 +319,6 @@
 
     def _send(self, address: str, message) -> None:
         if address not in self.peers:
-            self.peers[address] = Peer(address, self.meters)
+            self.peers[address] = peers.Peer(address, self.meters)
         key = self.settings.mesh_keys[0].encode()
         self.peers[address].send(signing.seal(wire.encode(message), key))
--- /dev/null
+++ b/bronzemux/peers.py
@@ -0,0 +1,125 @@
+"""Websocket connections between routers."""
+
+import socket
+from collections import abc
+
+import gevent
+import gevent.queue
+import gevent.server
+import websockets.exceptions
+from websockets.sync import client as websocket_client
+from websockets.sync import server as websocket_server
+
+from bronzemux import logs, metrics, wire
+
+CONNECT_SECONDS = 1.0
+CLOSE_SECONDS = 1.0
+KEEPALIVE_SECONDS = 5.0
+RECONNECT_SECONDS = 1.0
+QUEUE_MESSAGES = 64
+CONNECTION_ERRORS = (OSError, TimeoutError, websockets.exceptions.WebSocketException)
+
+
+class Peer:
+    """Outgoing connection to one router; drops messages while it is out of reach.
+
+    Args:
+      address: IP number and port.
+      meters: Metrics of the router.
+    """
+
+    def __init__(self, address: str, meters: metrics.Metrics):
+        self.address = address
+        self.meters = meters
+        self.queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_MESSAGES)
+        self.greenlet = gevent.spawn(self._run)
+
+    def send(self, frame: bytes) -> None:
+        """Queue a frame; it is dropped when the queue is full."""
+        try:
+            self.queue.put_nowait(frame)
+        except gevent.queue.Full:
+            logs.event("peer_queue_full", "debug", peer=self.address)
+
+    def close(self) -> None:
+        """End the connection."""
+        self.greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            first = self.queue.get()
+            try:
+                self._connect_and_send(first)
+            except CONNECTION_ERRORS as error:
+                logs.event("peer_lost", "debug", peer=self.address, cause=str(error))
+                gevent.sleep(RECONNECT_SECONDS)
+
+    def _connect_and_send(self, first: bytes) -> None:
+        host, _, port = self.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), CONNECT_SECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with websocket_client.connect(
+            f"ws://{self.address}/",
+            sock=sock,
+            open_timeout=CONNECT_SECONDS,
+            ping_interval=KEEPALIVE_SECONDS,
+            ping_timeout=KEEPALIVE_SECONDS,
+            compression=None,
+            max_size=wire.MAX_MESSAGE_BYTES,
+        ) as connection:
+            frame = first
+            while True:
+                connection.send(frame)
+                self.meters.mesh_bytes.labels("sent").inc(len(frame))
+                frame = self.queue.get()
+
+
+class PeerServer:
+    """Incoming connections of other routers.
+
+    gevent's server accepts, because the accept loop of websockets never closes its selector: the
+    selector goes on watching the numbers of closed sockets, which the system gives to new ones.
+
+    Args:
+      host: IP number to listen on.
+      port: Port to listen on, 0 for a free one.
+      receive: Called with each binary frame.
+    """
+
+    def __init__(self, host: str, port: int, receive: abc.Callable[[bytes], None]):
+        self.receive = receive
+        listener = socket.create_server((host, port))
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.port = listener.getsockname()[1]
+        self.connections = websocket_server.serve(
+            self._read,
+            sock=listener,
+            ping_interval=KEEPALIVE_SECONDS,
+            ping_timeout=KEEPALIVE_SECONDS,
+            close_timeout=CLOSE_SECONDS,
+            compression=None,
+            max_size=wire.MAX_MESSAGE_BYTES,
+        )
+        self.acceptor = gevent.server.StreamServer(listener, self.connections.handler)
+
+    def start(self) -> None:
+        """Accept connections."""
+        self.acceptor.start()
+
+    def close(self) -> None:
+        """Stop accepting, then end the connections that are open."""
+        self.connections.socket_closed.set()
+        self.acceptor.close()
+        self.connections.shutdown_watcher.close()
+        self.connections.shutdown_notifier.close()
+        closing = [gevent.spawn(item.close) for item in self.connections.connections]
+        gevent.joinall(closing, timeout=2 * CLOSE_SECONDS)
+
+    def _read(self, connection) -> None:
+        """Read the frames of one connection until it ends."""
+        try:
+            for frame in connection:
+                if isinstance(frame, bytes):
+                    self.receive(frame)
+        except CONNECTION_ERRORS as error:
+            logs.event("peer_connection_ended", "debug", cause=str(error))
--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -92,3 +92,8 @@
       | answers                       |
       | all answers arrive            |
       | the winner's answer is lost   |
+
+  Scenario: A peer server that was closed watches no descriptor any more
+    Given a peer server that accepted a connection and was closed
+    When sockets take over its descriptor numbers and their other ends are reset
+    Then each of them learns of it
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -1,12 +1,17 @@
 """Steps of mesh.feature."""
 
+import os
+import socket
+
 import gevent
 from behave import given, then, when
 
-from bronzemux import clock, config_edit, config_store, errors, porcelain, standin_answer
+from bronzemux import clock, config_edit, config_store, errors, peers, porcelain, standin_answer
 from features import support
 from features.steps import callers_steps, streams_steps
 
+LARGE_BYTES = 50_000_000
+HANG_SECONDS = 10.0
 BROKEN = "this is not TOML ["
 
 
@@ -225,3 +230,50 @@
     change = next(c for c, r in context.results if isinstance(r, config_store.Head))
     access = config_store.ConfigStore(support.http_table(context.deployment), clock.SystemClock())
     assert access.apply(change).version == version
+
+
+@given("a peer server that accepted a connection and was closed")
+def step_closed_server(context):
+    server = peers.PeerServer("127.0.0.1", 0, lambda frame: None)
+    context.numbers = (
+        server.connections.socket.fileno(),
+        server.connections.shutdown_watcher.fileno(),
+    )
+    server.start()
+    with socket.create_connection(("127.0.0.1", server.port)):
+        gevent.sleep(0.05)
+    server.close()
+
+
+def send_until_reset(target) -> bool:
+    """Return whether a send that fills the buffers ends with an error when the peer closes."""
+    with socket.create_server(target) as listener:
+        sender = socket.create_connection(listener.getsockname())
+        peer, _ = listener.accept()
+        gevent.spawn_later(0.05, peer.close)
+        try:
+            sender.sendall(bytes(LARGE_BYTES))
+        except OSError:
+            return True
+        finally:
+            sender.close()
+    return False
+
+
+@when("sockets take over its descriptor numbers and their other ends are reset")
+def step_reuse(context):
+    context.ended = []
+    held = []
+    try:
+        for _ in range(max(context.numbers) + 1):
+            attempt = gevent.spawn(send_until_reset, ("127.0.0.1", 0))
+            context.ended.append(attempt.get(timeout=HANG_SECONDS))
+            held.append(os.open(os.devnull, os.O_RDONLY))
+    finally:
+        for number in held:
+            os.close(number)
+
+
+@then("each of them learns of it")
+def step_learned(context):
+    assert all(context.ended), context.ended
