--- a/bronzemux/claims.py
+++ b/bronzemux/claims.py
@@ -160,7 +160,8 @@
                 "find out at the service before using a new key",
                 outcome=errors.Outcome.UNKNOWN,
             )
-        if age > self.settings.answer_seconds:
+        is_swept = claim.answer is None and not claim.answer_object
+        if is_swept or age > self.settings.answer_seconds:
             raise _expired()
         self.meters.claims.labels("repeated").inc()
         return claim.answer or self._load(claim)
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -22,6 +22,7 @@
     settings,
     settler,
     supervisor,
+    sweeper,
     table,
     vms,
     watcher,
@@ -105,8 +106,18 @@
         )
         self.committer = committer.Committer(self.table, self.clock, self.meters)
         self.settler = settler.Settler(self.committer, self.table, self.clock)
+        claim_settings = claims.ClaimSettings(self.mesh.identity)
+        self.sweeper = sweeper.Sweeper(
+            claim_settings,
+            name,
+            self.table,
+            self.objects,
+            self.committer,
+            self.clock,
+            lambda: [member.name for member in self.mesh.membership.alive()],
+        )
         self.claims = claims.Claims(
-            claims.ClaimSettings(self.mesh.identity),
+            claim_settings,
             self.table,
             self.objects,
             self.committer,
@@ -153,6 +164,7 @@
             self.dispatcher,
             self.committer,
             self.settler,
+            self.sweeper,
             self.watchers,
             self.mesh,
             self.rollout,
