Count an answer that arrived while the process was paused

Cause: a new test pauses a router process while a filing runs, past every lease. The filing ran once, but its outcome stayed unknown: when the process went on, the deadline had passed and the answer had arrived, and the event loop runs timers first. Change: http_client.Reader looks once more for bytes when the deadline passes, and gives up only when there are none. Tests that wait too long fail as a step now, instead of ending the whole run.

--- a/bronzemux/http_client.py
+++ b/bronzemux/http_client.py
@@ -46,6 +46,45 @@
     body: bytes
 
 
+class Reader:
+    """Receiving side of a socket whose deadline counts only while nothing has arrived.
+
+    When the process was paused, the deadline has passed and the answer has arrived before either
+    is noticed; the answer then counts.
+
+    Args:
+      sock: Connected socket with a timeout.
+    """
+
+    def __init__(self, sock: socket.socket):
+        self.sock = sock
+
+    def recv(self, count: int) -> bytes:
+        """Return up to `count` bytes, empty at the end.
+
+        Raises:
+          TimeoutError: When nothing arrived within the timeout of the socket.
+        """
+        try:
+            return self.sock.recv(count)
+        except TimeoutError:
+            return self._arrived(count)
+
+    def _arrived(self, count: int) -> bytes:
+        timeout = self.sock.gettimeout()
+        self.sock.settimeout(0.0)
+        try:
+            return self.sock.recv(count)
+        except BlockingIOError:
+            raise TimeoutError("timed out") from None
+        finally:
+            self.sock.settimeout(timeout)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.sock.close()
+
+
 class Connection:
     """One connection and at most one exchange at a time; owned by one greenlet.
 
@@ -70,6 +109,7 @@
             ) from error
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.settimeout(timeouts.progress)
+        self.reader = Reader(self.socket)
 
     def send(self, method: str, path: str, headers: Mapping[str, str], body: bytes) -> None:
         """Send a request.
@@ -89,7 +129,7 @@
           errors.EndpointProtocolError: When the answer is not HTTP.
         """
         self.response = self._guard(
-            http_response.HTTPSocketResponse, self.socket, READ_BYTES, method
+            http_response.HTTPSocketResponse, self.reader, READ_BYTES, method
         )
         return self.response
 
@@ -100,7 +140,7 @@
     def _read_some(self) -> bytes:
         response = self.response
         while not response._body_buffer and not response.message_complete:
-            data = self.socket.recv(READ_BYTES)
+            data = self.reader.recv(READ_BYTES)
             if not data:
                 raise ConnectionResetError("closed in the middle of the body")
             response.feed(data)
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -32,3 +32,24 @@
     When the platform goes down for good and a third process starts
     Then all processes report version 1 and preset "ordinary"
     And a chat through process 3 gives a whole answer
+
+  Scenario: A router that is paused past its lease during a rollout gives no order that harms
+    Given stand-ins of "centre" and 4 router processes
+    And engines take 2 seconds to load weights
+    When operator "nino" runs "rollout start statute-7b 2026-12 --yes" at process 1
+    And the process that leads the rollout in "tbilisi-2" is paused during its first order
+    Then the lease of "tbilisi-2" goes to another process
+    And every engine has version "2026-12" and it is in force
+    When the paused process goes on
+    Then every engine still has version "2026-12" 3 seconds later
+    And no engine took an order with a lower fencing token after a higher one
+    And at most 2 engines loaded weights at once
+
+  Scenario: A router that is paused while a filing runs does not let it run again
+    Given stand-ins of "centre" and 2 router processes
+    And case services of the processes take 1 second
+    When a filing runs through process 1, which is paused past every lease
+    Then a repeat through process 2 is told that the outcome is "unknown"
+    When the paused process goes on
+    Then a repeat through process 2 is told that the outcome is "ran" in the end
+    And the filings that ran number 1
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -73,7 +73,7 @@
 
 @when('team "{team}" files with key "{key}" until it gets an answer')
 def step_file_until(context, team, key):
-    with gevent.Timeout(ANSWER_SECONDS):
+    with gevent.Timeout(ANSWER_SECONDS, TimeoutError("not done in time")):
         context.reply = file_request(context, team, key)
         while context.reply.status != 200:
             gevent.sleep(0.1)
--- /dev/null
+++ b/features/steps/paused_steps.py
@@ -0,0 +1,118 @@
+"""Steps of processes.feature for routers that are paused during orders and filings."""
+
+import signal
+
+import cbor2
+import gevent
+from behave import given, then, when
+
+from bronzemux import claim
+from features import support
+from features.steps import claims_steps, processes_steps, rollout_steps, streams_steps
+
+KEY = "paused-1"
+LEASE_SECONDS = 9.0
+SENDING_SECONDS = 0.3
+ROLLOUT_SECONDS = 90.0
+BODY = b'{"a":1}'
+
+
+def holder(context, data_centre: str) -> str:
+    """Return the router that holds the lease on orders in a data centre, empty for none."""
+    key = f"lease/rollout/{rollout_steps.MODEL}/{data_centre}"
+    row = context.deployment.platform.table.rows.get(key)
+    return cbor2.loads(row.value).partition("@")[0] if row else ""
+
+
+def pause(context, name: str) -> None:
+    """Pause a process."""
+    context.paused = context.processes[int(name.removeprefix("vm-")) - 1]
+    context.paused_name = name
+    context.paused.popen.send_signal(signal.SIGSTOP)
+
+
+@when('the process that leads the rollout in "{data_centre}" is paused during its first order')
+def step_pause_leader(context, data_centre):
+    assert context.status == 0, context.output
+    engines = [
+        context.deployment.engines[endpoint.name]
+        for endpoint in context.deployment.document.endpoints
+        if endpoint.data_centre == data_centre and endpoint.kind == "model"
+    ]
+    streams_steps.wait_for(lambda: any(engine.orders for engine in engines), ROLLOUT_SECONDS)
+    pause(context, holder(context, data_centre))
+
+
+@then('the lease of "{data_centre}" goes to another process')
+def step_taken_over(context, data_centre):
+    streams_steps.wait_for(
+        lambda: holder(context, data_centre) not in ("", context.paused_name), ROLLOUT_SECONDS
+    )
+
+
+@then('every engine has version "{version}" and it is in force')
+def step_everywhere(context, version):
+    streams_steps.wait_for(
+        lambda: rollout_steps.versions(context) == {version}
+        and rollout_steps.in_force(context) == version,
+        ROLLOUT_SECONDS,
+    )
+
+
+@when("the paused process goes on")
+def step_go_on(context):
+    context.paused.popen.send_signal(signal.SIGCONT)
+
+
+@then('every engine still has version "{version}" {seconds:d} seconds later')
+def step_still(context, version, seconds):
+    gevent.sleep(seconds)
+    assert rollout_steps.versions(context) == {version}
+
+
+@then("no engine took an order with a lower fencing token after a higher one")
+def step_tokens(context):
+    for name, engine in context.deployment.engines.items():
+        tokens = [order.fencing_token for order in engine.orders]
+        assert tokens == sorted(tokens), (name, tokens)
+
+
+@given("case services of the processes take {seconds:g} second")
+def step_slow_services(context, seconds):
+    for service in claims_steps.services(context):
+        service.work_seconds = seconds
+
+
+def file_at(context, process: processes_steps.Process):
+    """File through a process and return the reply."""
+    headers = {"Idempotency-Key": KEY, "Content-Type": "application/json"}
+    key = context.deployment.key("caseworkers")
+    return support.send(process.address, "POST", claims_steps.FILING, key, BODY, headers)
+
+
+@when("a filing runs through process 1, which is paused past every lease")
+def step_pause_filing(context):
+    context.filing = gevent.spawn(file_at, context, context.processes[0])
+    rows = context.deployment.platform.table.rows
+    streams_steps.wait_for(lambda: any(key.startswith(claim.KEY_PREFIX) for key in rows))
+    gevent.sleep(SENDING_SECONDS)
+    pause(context, "vm-1")
+    processes_steps.step_dead(context, 2, "vm-1")
+    gevent.sleep(LEASE_SECONDS)
+
+
+def outcome_at(context, process: processes_steps.Process) -> str:
+    """Return the outcome that a repeat is told."""
+    reply = file_at(context, process)
+    return {key.lower(): value for key, value in reply.headers.items()}["x-outcome"]
+
+
+@then('a repeat through process {number:d} is told that the outcome is "{outcome}"')
+def step_repeat(context, number, outcome):
+    assert outcome_at(context, context.processes[number - 1]) == outcome
+
+
+@then('a repeat through process {number:d} is told that the outcome is "{outcome}" in the end')
+def step_repeat_end(context, number, outcome):
+    process = context.processes[number - 1]
+    streams_steps.wait_for(lambda: outcome_at(context, process) == outcome)
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -215,7 +215,7 @@
 @then("process {number:d} exits with {status:d}")
 def step_exit(context, number, status):
     popen = context.processes[number - 1].popen
-    with gevent.Timeout(EXIT_SECONDS):
+    with gevent.Timeout(EXIT_SECONDS, TimeoutError("not done in time")):
         assert popen.wait() == status, popen.returncode
     context.exited = context.processes[number - 1]
 
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -163,7 +163,7 @@
 def step_stream_until(context, team, version):
     context.texts = []
     client = support.openai_client(context.deployment, team)
-    with gevent.Timeout(60.0):
+    with gevent.Timeout(60.0, TimeoutError("not done in time")):
         while in_force(context) != version or len(context.texts) < 20:
             context.texts.append(support.stream_text(client, MODEL, "short", "question")[0])
             gevent.sleep(0.15)
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -98,7 +98,7 @@
 
 def wait_for(condition, seconds: float = 30.0) -> None:
     """Wait until a condition holds."""
-    with gevent.Timeout(seconds):
+    with gevent.Timeout(seconds, TimeoutError(f"not reached within {seconds:g} s")):
         while not condition():
             gevent.sleep(0.01)
 
