Decide outcomes of plain services at every point of failure, and drop crossed answers

Cause: the table of outcomes lacked a connection cut while the service reads, one cut within the answer, a late answer and a crossed one; an answer that named another request was passed on to the caller. Change: service_call drops and counts an answer that names another request; claims.feature has the points for filings, and a table of the same points for idempotent lookups, which go to another service.

--- a/bronzemux/service_call.py
+++ b/bronzemux/service_call.py
@@ -71,6 +71,7 @@
             body = connection.read_all()
         finally:
             connection.close()
+        self._check_request(endpoint.name, response)
         if response.get(engine_http.HEADER_OUTCOME) == engine_http.OUTCOME_NOT_RUN:
             self.may_have_run = False
             raise errors.EndpointRefusedError(
@@ -79,6 +80,15 @@
         headers = [(name, response.get(name)) for name in PASSED_HEADERS if response.get(name)]
         return ServiceAnswer(response.status_code, tuple(headers), body)
 
+    def _check_request(self, name: str, response) -> None:
+        """Drop an answer that names another request; services that name none are trusted."""
+        answered = response.get(engine_http.HEADER_REQUEST)
+        if answered and answered != self.request.head.id:
+            self.tools.meters.dropped_answers.inc()
+            raise errors.EndpointProtocolError(
+                f"{name} answered another request", "the answer is dropped"
+            )
+
     def _headers(self) -> dict[str, str]:
         head = self.request.head
         headers = {engine_http.HEADER_REQUEST: head.id, "X-Team": head.team.name}
--- a/bronzemux/standin_service.py
+++ b/bronzemux/standin_service.py
@@ -8,7 +8,7 @@
 from bronzemux import clock as clocks
 from bronzemux import engine_http, http_server
 
-MODES = ("ordinary", "refuse", "crash_before", "crash_after", "silent_after", "error")
+LATE_SECONDS = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +36,7 @@
         self.port = port
         self.work_seconds = work_seconds
         self.filings: list[Filing] = []
+        self.late_seconds = LATE_SECONDS
         self.next_modes: list[str] = []
         self.is_up = False
 
@@ -53,32 +54,53 @@
 
     def application(self, environ, start_response):
         """Serve one request (WSGI): POST files, GET looks up."""
-        if environ["REQUEST_METHOD"] == "GET":
-            body = json.dumps({"filings": len(self.filings), "path": environ["PATH_INFO"]})
-            return http_server.respond(start_response, 200, body.encode(), _json())
-        return self._file(environ, start_response)
-
-    def _file(self, environ, start_response):
-        content = environ["wsgi.input"].read()
         mode = self.next_modes.pop(0) if self.next_modes else "ordinary"
+        if mode == "cut_while_reading":
+            return self._cut()
+        content = environ["wsgi.input"].read()
         if mode == "refuse":
             headers = [(engine_http.HEADER_OUTCOME, engine_http.OUTCOME_NOT_RUN), *_json()]
             return http_server.respond(start_response, 503, b'{"error":"busy"}', headers)
         if mode == "crash_before":
-            return self._crash()
+            return self._cut()
+        body = self._run(environ, content)
+        return self._answer(environ, start_response, mode, body)
+
+    def _run(self, environ, content: bytes) -> bytes:
+        """Execute a request and return the body of its answer."""
+        if environ["REQUEST_METHOD"] == "GET":
+            found = {"filings": len(self.filings), "path": environ["PATH_INFO"]}
+            return json.dumps(found).encode()
         self.clock.sleep(self.work_seconds)
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
         filing = Filing(key, content, len(self.filings) + 1)
         self.filings.append(filing)
+        return json.dumps({"filing": filing.number}).encode()
+
+    def _answer(self, environ, start_response, mode: str, body: bytes):
+        """Answer a request that ran, with the fault of a mode."""
         if mode == "crash_after":
-            return self._crash()
+            return self._cut()
         if mode == "silent_after":
             event.Event().wait()
+        if mode == "late":
+            self.clock.sleep(self.late_seconds)
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        if mode == "crossed":
+            request_id = "another-request"
+        headers = [(engine_http.HEADER_REQUEST, request_id), *_json()]
+        if mode == "cut_in_answer":
+            return self._break_off(start_response, headers, body)
         status = 500 if mode == "error" else 200
-        body = json.dumps({"filing": filing.number}).encode()
-        return http_server.respond(start_response, status, body, _json())
+        return http_server.respond(start_response, status, body, headers)
+
+    def _break_off(self, start_response, headers, body: bytes):
+        """Announce a longer answer than is sent."""
+        start_response("200 OK", [*headers, ("Content-Length", str(len(body) + 1))])
+        yield body
+        self._cut()
 
-    def _crash(self):
+    def _cut(self):
         for sock in list(self.server.open_sockets):
             http_server.cut(sock)
         return []
--- a/features/claims.feature
+++ b/features/claims.feature
@@ -25,6 +25,29 @@
       | crash after running     | 502    | unknown | 1   | 502           | unknown        | 1          |
       | go silent after running | 502    | unknown | 1   | 502           | unknown        | 1          |
       | answer with an error    | 500    | ran     | 1   | 500           | ran            | 1          |
+      | cut while reading       | 502    | unknown | 0   | 502           | unknown        | 0          |
+      | cut in the answer       | 502    | unknown | 1   | 502           | unknown        | 1          |
+      | answer late             | 502    | unknown | 1   | 502           | unknown        | 1          |
+      | answer another request  | 502    | unknown | 1   | 502           | unknown        | 1          |
+
+  Scenario Outline: An idempotent lookup goes to another service at every point of failure
+    Given the first case service that is asked will <fault>
+    When team "caseworkers" looks up a status
+    Then the status is 200
+    And the outcome is "ran"
+    And the services were asked <asked> times
+
+    Examples:
+      | fault                   | asked |
+      | work                    | 1     |
+      | refuse                  | 2     |
+      | cut while reading       | 2     |
+      | crash before running    | 2     |
+      | crash after running     | 2     |
+      | go silent after running | 2     |
+      | cut in the answer       | 2     |
+      | answer late             | 2     |
+      | answer another request  | 2     |
 
   Scenario Outline: A fault at the table service
     Given the platform will <fault>
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -14,6 +14,10 @@
     "crash after running": "crash_after",
     "go silent after running": "silent_after",
     "answer with an error": "error",
+    "cut while reading": "cut_while_reading",
+    "cut in the answer": "cut_in_answer",
+    "answer late": "late",
+    "answer another request": "crossed",
 }
 ANSWER_SECONDS = 60.0
 
@@ -39,6 +43,35 @@
             service.next_modes = [MODES[fault]] * 5
 
 
+class CountedModes(list):
+    """Modes that all services share, and the number of requests that asked for one."""
+
+    asked = 0
+
+    def __bool__(self):
+        self.asked += 1
+        return len(self) > 0
+
+
+@given("the first case service that is asked will {fault}")
+def step_first_fault(context, fault):
+    context.modes = CountedModes([MODES[fault]])
+    for service in services(context):
+        service.next_modes = context.modes
+
+
+@when('team "{team}" looks up a status')
+def step_look_up(context, team):
+    address = support.router_address(context.deployment)
+    key = context.deployment.key(team)
+    context.reply = support.send(address, "GET", "/services/cases/status", key)
+
+
+@then("the services were asked {count:d} times")
+def step_asked(context, count):
+    assert context.modes.asked == count, context.modes.asked
+
+
 @given("case services work again")
 def step_service_well(context):
     for service in services(context):
