Log a caller that stops reading in one line, and test that it is cut off

Cause: the write deadline for callers had no test; a new one showed a traceback on stderr for each such caller. Change: the handler logs caller_silent and closes; the test asks for 60,000 words, reads the headers only, and sees the engine's work cancelled and no request left in flight.

--- a/bronzemux/http_server.py
+++ b/bronzemux/http_server.py
@@ -6,6 +6,8 @@
 import gevent
 from gevent import pywsgi
 
+from bronzemux import logs
+
 IDLE_SECONDS = 75.0
 HEADER_SECONDS = 10.0
 WRITE_SECONDS = 30.0
@@ -61,6 +63,14 @@
         finally:
             timeout.close()
 
+    def handle_error(self, kind, error, traceback):
+        """Log a caller that stopped reading in one line, and close; leave other errors as they are."""
+        if isinstance(error, TimeoutError):
+            logs.event("caller_silent", "warning", seconds=self.server.deadlines.write)
+            self.close_connection = True
+        else:
+            super().handle_error(kind, error, traceback)
+
     def log_request(self):
         """Write no access log; the application logs requests."""
 
--- a/features/callers.feature
+++ b/features/callers.feature
@@ -88,6 +88,13 @@
     Then the endpoint stops before 200 words
     And no request is counted as in flight
 
+  Scenario: A caller that stops reading is cut off and has its idempotent work cancelled
+    Given engines take 0.00001 seconds a word
+    And routers wait 1 second for a caller that does not read
+    When a caller of team "caseworkers" asks for 60000 words and reads only the headers
+    Then the endpoint stops before 60000 words
+    And no request is counted as in flight
+
   Scenario: Every accepted connection has Nagle's algorithm off
     When a caller keeps a connection open
     Then the router's end has TCP_NODELAY set
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -1,5 +1,6 @@
 """Steps of callers.feature."""
 
+import dataclasses
 import json
 import socket
 
@@ -11,6 +12,8 @@
 
 CHAT = "/v1/chat/completions"
 MODEL = "statute-7b"
+SMALL_BUFFER_BYTES = 4096
+STOP_POLLS = 1000
 
 
 def chat(**changes) -> bytes:
@@ -169,7 +172,7 @@
 
 @then("the endpoint stops before {count:d} words")
 def step_stopped(context, count):
-    for _ in range(200):
+    for _ in range(STOP_POLLS):
         if all(work.is_cancelled for work in works(context)):
             break
         gevent.sleep(0.02)
@@ -177,6 +180,23 @@
     assert all(len(work.parts) < count for work in works(context))
 
 
+@given("routers wait {seconds:g} second for a caller that does not read")
+def step_write_deadline(context, seconds):
+    for item in context.deployment.routers:
+        item.server.deadlines = dataclasses.replace(item.server.deadlines, write=seconds)
+
+
+@when('a caller of team "{team}" asks for {count:d} words and reads only the headers')
+def step_read_nothing(context, team, count):
+    connection = dial(context)
+    connection.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    body = chat(stream=True, max_tokens=count)
+    headers = {"Authorization": f"Bearer {context.deployment.key(team)}"}
+    connection.send("POST", CHAT, headers, body)
+    connection.receive("POST")
+    context.cleanups.append(connection.close)
+
+
 @then("no request is counted as in flight")
 def step_no_flight(context):
     for _ in range(200):
