Model the configuration head and leases as state machines, and fuzz by a command

Change: features/head_model.py and lease_model.py explore lost, delayed and refused writes, pauses and restarts, each with a mutant that they must find; features/fuzz.py holds the decoders and runs them and the machines from any seed for as many examples as wanted. Found: usage and choices of another form raised TypeError, ValueError and AttributeError in the middle of a stream; completion raises EndpointProtocolError now, which names the type and not the content.

--- a/bronzemux/completion.py
+++ b/bronzemux/completion.py
@@ -36,16 +36,26 @@
     usage = decode(data).get("usage")
     if not isinstance(usage, Mapping):
         return None
-    details = usage.get("prompt_tokens_details") or {}
+    details = usage.get("prompt_tokens_details")
+    if not isinstance(details, Mapping):
+        details = {}
     return Usage(
-        int(usage.get("prompt_tokens") or 0),
-        int(details.get("cached_tokens") or 0),
-        int(usage.get("completion_tokens") or 0),
-        int(details.get("imported_tokens") or 0),
-        int(details.get("exported_pieces") or 0),
+        _count(usage, "prompt_tokens"),
+        _count(details, "cached_tokens"),
+        _count(usage, "completion_tokens"),
+        _count(details, "imported_tokens"),
+        _count(details, "exported_pieces"),
     )
 
 
+def _count(fields: Mapping, name: str) -> int:
+    """Return a count, 0 when it is left out or null."""
+    value = fields.get(name) or 0
+    if type(value) is not int or value < 0:
+        raise _malformed(f"{name}, not a count,", value)
+    return value
+
+
 def is_only_usage(data: bytes) -> bool:
     """Return whether a part carries usage and no text."""
     return USAGE_MARK in data and decode(data).get("choices") == []
@@ -114,16 +124,35 @@
 
 
 def _chunk_text(chunk: Mapping) -> str:
-    choices = chunk.get("choices") or []
+    choices = _choices(chunk)
     if not choices:
         return ""
     delta = choices[0].get("delta")
-    return (delta.get("content") or "") if delta else (choices[0].get("text") or "")
+    has_delta = isinstance(delta, Mapping)
+    text = (delta.get("content") if has_delta else choices[0].get("text")) or ""
+    if not isinstance(text, str):
+        raise _malformed("a choice's text", text)
+    return text
+
+
+def _choices(chunk: Mapping) -> list[Mapping]:
+    """Return the choices of a part."""
+    choices = chunk.get("choices") or []
+    if not isinstance(choices, list) or not all(isinstance(item, Mapping) for item in choices):
+        raise _malformed("the choices", choices)
+    return choices
+
+
+def _malformed(what: str, value) -> errors.EndpointProtocolError:
+    return errors.EndpointProtocolError(
+        f"{what} of an answer's part is of type {type(value).__name__}",
+        "check the engine's version",
+    )
 
 
 def _finish_reason(chunks) -> str | None:
     for chunk in reversed(chunks):
-        for choice in chunk.get("choices") or []:
+        for choice in _choices(chunk):
             if choice.get("finish_reason"):
                 return choice["finish_reason"]
     return None
--- a/features/claims_model.py
+++ b/features/claims_model.py
@@ -148,11 +148,22 @@
     Raises:
       AssertionError: When a key ran twice.
     """
+    explore(ClaimMachine, EXAMPLES, STEPS)
+
+
+def explore(machine, examples: int, steps: int) -> None:
+    """Run a state machine with fixed seeds.
+
+    Args:
+      machine: Class of the machine.
+      examples: Number of histories.
+      steps: Most steps of each.
+    """
     stateful.run_state_machine_as_test(
-        ClaimMachine,
+        machine,
         settings=settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
+            max_examples=examples,
+            stateful_step_count=steps,
             derandomize=True,
             database=None,
             deadline=None,
--- /dev/null
+++ b/features/fuzz.py
@@ -0,0 +1,156 @@
+"""Fuzzing of every decoder of bytes from outside, and of the state machines, for as long as wanted.
+
+``python -m features.fuzz --examples=100000 --seed=7`` runs everything; ``--only=NAME`` one of it.
+"""
+
+import dataclasses
+import json
+from collections.abc import Callable
+
+import hypothesis
+from absl import app, flags
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bronzemux import (
+    completion,
+    config,
+    engine_http,
+    errors,
+    requests,
+    resume_token,
+    signing,
+    traffic,
+    wire,
+)
+from features import claims_model, head_model, lease_model
+
+FLAGS = flags.FLAGS
+MACHINES = {
+    "claims": claims_model.ClaimMachine,
+    "head": head_model.HeadMachine,
+    "lease": lease_model.LeaseMachine,
+}
+MACHINE_STEPS = 60
+
+
+@dataclasses.dataclass(frozen=True)
+class Decoder:
+    """A decoder, what it is fed, and the only error that it may raise."""
+
+    function: Callable
+    inputs: st.SearchStrategy
+    error: type[Exception]
+
+
+DOCUMENT = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=12,
+)
+USAGE_FIELDS = st.sampled_from(("prompt_tokens", "completion_tokens", "prompt_tokens_details"))
+CHOICES = st.lists(st.dictionaries(st.sampled_from(("delta", "text")), DOCUMENT), max_size=2)
+DECODERS = {
+    "the sealed frame": Decoder(
+        lambda content: signing.unseal(content, (b"key",)),
+        st.binary(max_size=200),
+        signing.SignatureError,
+    ),
+    "the answer part": Decoder(
+        completion.usage_of,
+        st.dictionaries(USAGE_FIELDS, DOCUMENT).map(lambda u: json.dumps({"usage": u}).encode())
+        | st.binary(max_size=60).map(lambda raw: b'"usage"' + raw),
+        errors.EndpointProtocolError,
+    ),
+    "the text of a part": Decoder(
+        completion.text_of,
+        (DOCUMENT | CHOICES).map(lambda value: json.dumps({"choices": value}).encode()),
+        errors.EndpointProtocolError,
+    ),
+    "the wire decoder": Decoder(wire.decode, st.binary(max_size=200), wire.WireError),
+    "the event decoder": Decoder(
+        engine_http.decode_event,
+        st.binary(max_size=100),
+        errors.EndpointProtocolError,
+    ),
+    "the state decoder": Decoder(
+        lambda raw: engine_http.decode_state("e", raw),
+        DOCUMENT.map(lambda value: json.dumps(value).encode()) | st.binary(max_size=100),
+        errors.EndpointProtocolError,
+    ),
+    "the configuration": Decoder(config.loads, st.text(max_size=200), errors.ConfigError),
+    "the traffic file": Decoder(traffic.loads, st.text(max_size=200), errors.ConfigError),
+    "the resume token": Decoder(
+        lambda text: resume_token.verify(text, (b"key",), 0.0),
+        st.text(max_size=100),
+        errors.InvalidRequestError,
+    ),
+    "the request body": Decoder(
+        requests.decode_body,
+        DOCUMENT.map(lambda value: json.dumps(value).encode()) | st.binary(max_size=100),
+        errors.InvalidRequestError,
+    ),
+}
+
+
+def feeder(name: str) -> Callable:
+    """Return a function that feeds one generated input to a decoder.
+
+    Args:
+      name: Key of `DECODERS`.
+    """
+    decoder = DECODERS[name]
+
+    @hypothesis.given(decoder.inputs)
+    def feed(value):
+        try:
+            decoder.function(value)
+        except decoder.error:
+            return
+
+    return feed
+
+
+def run(name: str, examples: int, seed: int) -> None:
+    """Explore one decoder or state machine from a seed.
+
+    Args:
+      name: Key of `DECODERS` or `MACHINES`.
+      examples: Number of inputs or histories.
+      seed: Seed of all draws.
+
+    Raises:
+      Exception: What a decoder raised beside its typed error, or what a machine found.
+    """
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=MACHINE_STEPS,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    if name in MACHINES:
+        machine = hypothesis.seed(seed)(MACHINES[name])
+        stateful.run_state_machine_as_test(machine, settings=settings)
+    else:
+        hypothesis.seed(seed)(settings(feeder(name)))()
+
+
+def main(arguments: list[str]) -> int:
+    """Run what the flags ask for; return the exit status."""
+    if len(arguments) > 1:
+        raise app.UsageError(f"unknown arguments: {' '.join(arguments[1:])}")
+    names = [FLAGS.only] if FLAGS.only else [*DECODERS, *MACHINES]
+    for name in names:
+        run(name, FLAGS.examples, FLAGS.seed)
+        print(
+            f"{name}: {FLAGS.examples} examples from seed {FLAGS.seed}, nothing found", flush=True
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("examples", 10_000, "Inputs or histories of each.", lower_bound=1)
+    flags.DEFINE_integer("seed", 1, "Seed of all draws.")
+    flags.DEFINE_enum("only", "", ["", *DECODERS, *MACHINES], "One decoder or machine to run.")
+    app.run(main)
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -14,6 +14,19 @@
     Given ambiguous insertions are released by version
     Then the claim machine finds a key that ran twice
 
+  Scenario: Accepted configurations never change, vanish or appear twice, whatever writes are lost or delayed
+    Then the head machine finds nothing wrong
+
+  Scenario: The head machine finds an operator who is told that another's change was his own
+    Given conflicts are settled without the change id
+    Then the head machine finds something wrong
+
+  Scenario: A lease has one holder, whatever is paused, restarted, lost or delayed
+    Then the lease machine finds nothing wrong
+
+  Scenario: The lease machine finds a contender that takes over too early
+    Then the lease machine finds something wrong with an impatient contender
+
   Scenario: The Ocean paper's lock with TTL runs work twice under paused holders, the claim does not
     Then of 2000 seeded requests the lock doubles at least 20 and the claim none
 
@@ -23,6 +36,9 @@
     Examples:
       | decoder                | error                 |
       | the wire decoder       | WireError             |
+      | the sealed frame       | SignatureError        |
+      | the answer part        | EndpointProtocolError |
+      | the text of a part     | EndpointProtocolError |
       | the event decoder      | EndpointProtocolError |
       | the state decoder      | EndpointProtocolError |
       | the configuration      | ConfigError           |
--- a/features/steps/properties_steps.py
+++ b/features/steps/properties_steps.py
@@ -1,7 +1,6 @@
 """Steps of properties.feature."""
 
 import dataclasses
-import json
 
 import hypothesis
 from behave import given, then
@@ -9,20 +8,14 @@
 
 from bronzemux import (
     admission,
-    config,
-    engine_http,
-    errors,
+    config_store,
     index,
     prefix,
-    requests,
-    resume_token,
     retries,
     settler,
-    traffic,
-    wire,
 )
 from bronzemux import claim as claim_rows
-from features import claims_model, lock_comparison
+from features import claims_model, fuzz, head_model, lease_model, lock_comparison
 
 TEXT = st.text(st.characters(codec="utf-8"), max_size=12)
 IDENTITY = st.tuples(TEXT, TEXT, TEXT, TEXT)
@@ -80,11 +73,43 @@
 
 @then("the claim machine finds a key that ran twice")
 def step_machine_finds(context):
+    assert finds(claims_model.check)
+
+
+@then("the head machine finds nothing wrong")
+def step_head(context):
+    head_model.check()
+
+
+@given("conflicts are settled without the change id")
+def step_head_mutant(context):
+    old = config_store.ConfigStore._settle
+    config_store.ConfigStore._settle = lambda self, change: self.version(change.expected + 1)
+    context.cleanups.append(lambda: setattr(config_store.ConfigStore, "_settle", old))
+
+
+def finds(check, *arguments) -> bool:
+    """Return whether an exploration fails."""
     try:
-        claims_model.check()
+        check(*arguments)
     except AssertionError:
-        return
-    raise AssertionError("the machine found nothing")
+        return True
+    return False
+
+
+@then("the head machine finds something wrong")
+def step_head_finds(context):
+    assert finds(head_model.check)
+
+
+@then("the lease machine finds nothing wrong")
+def step_lease(context):
+    lease_model.check()
+
+
+@then("the lease machine finds something wrong with an impatient contender")
+def step_lease_finds(context):
+    assert finds(lease_model.check, lease_model.ImpatientMachine)
 
 
 @then("of {trials:d} seeded requests the lock doubles at least {least:d} and the claim none")
@@ -93,52 +118,10 @@
     assert found.lock_doubled >= least and found.claim_doubled == 0, found
 
 
-DOCUMENT = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
-    max_leaves=12,
-)
-DECODERS = {
-    "the wire decoder": (wire.decode, st.binary(max_size=200), wire.WireError),
-    "the event decoder": (
-        engine_http.decode_event,
-        st.binary(max_size=100),
-        errors.EndpointProtocolError,
-    ),
-    "the state decoder": (
-        lambda raw: engine_http.decode_state("e", raw),
-        DOCUMENT.map(lambda value: json.dumps(value).encode()) | st.binary(max_size=100),
-        errors.EndpointProtocolError,
-    ),
-    "the configuration": (config.loads, st.text(max_size=200), errors.ConfigError),
-    "the traffic file": (traffic.loads, st.text(max_size=200), errors.ConfigError),
-    "the resume token": (
-        lambda text: resume_token.verify(text, (b"key",), 0.0),
-        st.text(max_size=100),
-        errors.InvalidRequestError,
-    ),
-    "the request body": (
-        requests.decode_body,
-        DOCUMENT.map(lambda value: json.dumps(value).encode()) | st.binary(max_size=100),
-        errors.InvalidRequestError,
-    ),
-}
-
-
 @then("{count:d} generated inputs to {decoder} raise nothing but {error}")
 def step_fuzz(context, count, decoder, error):
-    function, strategy, kind = DECODERS[decoder]
-    assert kind.__name__ == error
-
-    @explore(count)
-    @hypothesis.given(strategy)
-    def check(value):
-        try:
-            function(value)
-        except kind:
-            return
-
-    check()
+    assert fuzz.DECODERS[decoder].error.__name__ == error
+    explore(count)(fuzz.feeder(decoder))()
 
 
 @then("{count:d} generated histories of the index agree with a model")
