Order adapters and roles as desired state, and send requests for an adapter where it is loaded

Cause: only weights were ordered; a request that named an adapter reached engines that did not have it. Change: orders.missing says what an endpoint still has to be ordered, from the configuration and its report; the rollout task carries it out under the same lease, fencing token and load slots. Engines report adapters and role; the fleet keeps requests from engines without the adapter or with the role decode. Commands `adapter set|remove` and `endpoint role`. The stand-in's loading moved to standin_loading.py.

--- a/bronzemux/cli_ctl.py
+++ b/bronzemux/cli_ctl.py
@@ -45,7 +45,8 @@
 usage: bronzemux-ctl [flags] COMMAND
   config check FILE | apply FILE | show | history | diff OLD NEW | rollback VERSION
   preset list | use NAME
-  endpoint list | drain NAME | undrain NAME
+  endpoint list | drain NAME | undrain NAME | role NAME ROLE
+  adapter set MODEL NAME VERSION | remove MODEL NAME
   vm drain NAME | undrain NAME
   team add NAME | rotate-key NAME | limits NAME
   rollout start MODEL VERSION | pause MODEL | resume MODEL | stop MODEL | status
@@ -206,6 +207,23 @@
     return edit(config_edit.set_rollout(model, ""), f"rollout of {model} stopped")
 
 
+def set_adapter(model: str, name: str, version: str) -> porcelain.Result:
+    """Give a model an adapter in a version."""
+    return edit(config_edit.set_adapter(model, name, version), f"adapter {name} {version}")
+
+
+def remove_adapter(model: str, name: str) -> porcelain.Result:
+    """Take an adapter from a model; requests that name it are refused from then on."""
+    confirm(f"take adapter {name} from {model}")
+    return edit(config_edit.set_adapter(model, name, ""), f"adapter {name} removed")
+
+
+def set_role(endpoint: str, role: str) -> porcelain.Result:
+    """Have an endpoint take a role."""
+    confirm(f"order {endpoint} to take the role {role}")
+    return edit(config_edit.set_role(endpoint, role), f"{endpoint} {role}")
+
+
 def digest(key: str) -> porcelain.Result:
     """Return the digest of a key."""
     value = config.digest_key(key)
@@ -224,6 +242,9 @@
     "endpoint list": (lambda: porcelain.list_endpoints(FLAGS.router), 0),
     "endpoint drain": (drain("drained_endpoints", True), 1),
     "endpoint undrain": (drain("drained_endpoints", False), 1),
+    "endpoint role": (set_role, 2),
+    "adapter set": (set_adapter, 3),
+    "adapter remove": (remove_adapter, 2),
     "vm drain": (drain("drained_vms", True), 1),
     "vm undrain": (drain("drained_vms", False), 1),
     "team add": (add_team, 1),
--- a/bronzemux/config.py
+++ b/bronzemux/config.py
@@ -14,6 +14,7 @@
 BYTES_PER_TOKEN = 4
 PRESET_NAMES = ("ordinary", "peak", "maintenance")
 ENDPOINT_KINDS = ("model", "service")
+ENDPOINT_ROLES = ("", "mixed", "prefill", "decode")
 ROLES = ("viewer", "operator", "administrator")
 
 
@@ -75,7 +76,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Endpoint:
-    """A back end: a model engine or a plain service."""
+    """A back end: a model engine or a plain service.
+
+    Attributes:
+      name: Name.
+      data_centre: Data centre.
+      address: IP number and port.
+      kind: One of `ENDPOINT_KINDS`.
+      models: Models that it serves.
+      services: Plain services that it serves.
+      prefill_tokens_per_second: Speed of computing prompts.
+      slots: Requests that run at once.
+      cache_pieces: Pieces that its cache holds.
+      checks_fencing: Whether it refuses orders with an old fencing token.
+      role: One of `ENDPOINT_ROLES` that it is ordered to take, or empty to leave it.
+    """
 
     name: str
     data_centre: str
@@ -87,6 +102,7 @@
     slots: int = 16
     cache_pieces: int = 1_000
     checks_fencing: bool = False
+    role: str = ""
 
     @property
     def host(self) -> str:
@@ -304,6 +320,7 @@
     for position, endpoint in enumerate(config.endpoints):
         path = f"endpoints[{position}]"
         yield from _known(f"{path}.kind", (endpoint.kind,), ENDPOINT_KINDS)
+        yield from _known(f"{path}.role", (endpoint.role,), ENDPOINT_ROLES)
         yield from _known(
             f"{path}.data_centre", (endpoint.data_centre,), config.deployment.data_centres
         )
--- a/bronzemux/config_edit.py
+++ b/bronzemux/config_edit.py
@@ -134,6 +134,27 @@
     return change
 
 
+def set_adapter(model: str, name: str, version: str) -> Edit:
+    """Return the edit that gives a model an adapter in a version; an empty one removes it."""
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        entry = _item(document, "models", model)
+        kept = [item for item in entry.get("adapters", []) if item["name"] != name]
+        added = [{"name": name, "version": version}] if version else []
+        entry["adapters"] = [*kept, *added]
+
+    return change
+
+
+def set_role(endpoint: str, role: str) -> Edit:
+    """Return the edit that has an endpoint take a role."""
+
+    def change(document: tomlkit.TOMLDocument) -> None:
+        _item(document, "endpoints", endpoint)["role"] = role
+
+    return change
+
+
 def difference(old: str, new: str, names: tuple[str, str]) -> str:
     """Return the unified difference of two documents."""
     lines = difflib.unified_diff(
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -178,7 +178,9 @@
         now = self.clock.monotonic()
         self._see_incarnation(name, message.state.load.incarnation)
         self.fleet.take_load_report(message.state.load, now)
-        self.fleet.set_weights(name, dict(message.state.weights))
+        loaded = message.state
+        adapters = None if loaded.adapters is None else dict(loaded.adapters)
+        self.fleet.set_loaded(name, dict(loaded.weights), adapters, loaded.role)
         if message.has_gap:
             self.meters.event_gaps.inc()
             self.fleet.doubt(name)
@@ -388,7 +390,9 @@
         return [(v, self._serving(request, v, frozenset())) for v in variants]
 
     def _serving(self, request, variant: requests.Variant, excluded: frozenset[str]) -> np.ndarray:
-        return self.fleet.allowed(request.model, "", excluded, variant.weights_version)
+        return self.fleet.allowed(
+            request.model, "", excluded, variant.weights_version, request.adapter
+        )
 
     def _any_endpoint(self, request: requests.Request) -> np.ndarray:
         """Return the endpoints that are configured for a request."""
--- a/bronzemux/engine.py
+++ b/bronzemux/engine.py
@@ -39,6 +39,7 @@
       continue_text: Text that the answer already has; it counts as generated.
       may_reuse_connection: Whether an idle connection may carry the job.
       transfer: What the engine imports from and exports to the KV cache store.
+      adapter: Name and version of the adapter, or empty.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     continue_text: str = ""
     may_reuse_connection: bool = True
     transfer: Transfer = NO_TRANSFER
+    adapter: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,11 +92,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class EngineState:
-    """Load and cache events of an engine at one moment."""
+    """Load, cache events and what is loaded, of an engine at one moment.
+
+    Attributes:
+      load: Load.
+      events: Cache events since the last report.
+      weights: Weights version by model.
+      adapters: Adapter versions by `adapter_key`, None when it reports none.
+      role: Role, empty when it reports none.
+    """
 
     load: fleet.LoadReport
     events: EventBatch
     weights: tuple[tuple[str, str], ...] = ()
+    adapters: tuple[tuple[str, str], ...] | None = None
+    role: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,12 +118,19 @@
       weights_version: Version to load; empty to keep the version.
       fencing_token: Number of the lease under which the order is given.
       adapter: Name and version of an adapter to load, or empty.
+      role: Role to change to, or empty.
     """
 
     model: str
     weights_version: str
     fencing_token: int
     adapter: str = ""
+    role: str = ""
+
+
+def adapter_key(model: str, adapter: str) -> str:
+    """Return the name under which an engine reports an adapter of a model."""
+    return f"{model}/{adapter}"
 
 
 class AnswerStream:
--- a/bronzemux/engine_http.py
+++ b/bronzemux/engine_http.py
@@ -14,6 +14,7 @@
 HEADER_WEIGHTS = "X-Weights-Version"
 HEADER_PRIORITY = "X-Priority"
 HEADER_CONTINUE = "X-Continue-Bytes"
+HEADER_ADAPTER = "X-Adapter"
 HEADER_IMPORT = "X-Cache-Import"
 HEADER_EXPORT = "X-Cache-Export"
 HEADER_IDEMPOTENCY = "Idempotency-Key"
@@ -54,6 +55,8 @@
         }
         if job.idempotency_key:
             headers[HEADER_IDEMPOTENCY] = job.idempotency_key
+        if job.adapter:
+            headers[HEADER_ADAPTER] = job.adapter
         headers |= _transfer_headers(job.transfer)
         body = job.body
         if job.continue_text:
@@ -83,6 +86,7 @@
             "weights_version": order.weights_version,
             "fencing_token": order.fencing_token,
             "adapter": order.adapter,
+            "role": order.role,
         }
         self._exchange("POST", "/orders", json.dumps(body).encode())
 
@@ -252,12 +256,18 @@
             stored=tuple(int(key, 16) for key in raw["stored"]),
             evicted=tuple(int(key, 16) for key in raw["evicted"]),
         )
-        weights = tuple((str(k), str(v)) for k, v in raw.get("weights", {}).items())
+        weights = _pairs(raw.get("weights", {}))
+        adapters = _pairs(raw["adapters"]) if "adapters" in raw else None
+        role = str(raw.get("role", ""))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise errors.EndpointProtocolError(
             f"{name} reported a state of another form: {error!r}", "check the engine's version"
         ) from error
-    return engine.EngineState(load, events, weights)
+    return engine.EngineState(load, events, weights, adapters, role)
+
+
+def _pairs(versions) -> tuple[tuple[str, str], ...]:
+    return tuple((str(name), str(version)) for name, version in versions.items())
 
 
 def _refusal(name: str, status: int, headers, body: bytes) -> errors.EndpointError:
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -27,6 +27,7 @@
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 20.0
 MIN_ROOM = 2
+DECODE_ROLE = "decode"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +68,8 @@
     reported_at: float = -1e9
     others_waiting: int = 0
     weights: dict[str, str] = dataclasses.field(default_factory=dict)
+    adapters: dict[str, str] | None = None
+    role: str = ""
 
     @property
     def rate(self) -> float:
@@ -95,7 +98,7 @@
         self.dirty: set[str] = set()
         self.view_peers = 0
         self.viewed_at = -1e9
-        self.masks: dict[tuple[str, str, str], np.ndarray] = {}
+        self.masks: dict[tuple[str, str, str, str], np.ndarray] = {}
 
     def apply(self, snapshot: config.Config, preset: config.Preset) -> tuple[str, ...]:
         """Take over the endpoints of a configuration.
@@ -372,7 +375,12 @@
         return min(1.0, max(SLOW_START_FLOOR, age))
 
     def allowed(
-        self, model: str, service: str, excluded: frozenset[str], version: str = ""
+        self,
+        model: str,
+        service: str,
+        excluded: frozenset[str],
+        version: str = "",
+        adapter: str = "",
     ) -> np.ndarray:
         """Return which endpoints serve a model or service.
 
@@ -381,11 +389,12 @@
           service: Name of the service, or the empty string.
           excluded: Endpoints that must not be chosen.
           version: Weights version that must be loaded, as far as the endpoint reported any.
+          adapter: Name and version of the adapter that must be loaded, or empty.
 
         Returns:
           Boolean array, one element an endpoint.
         """
-        key = (model, service, version)
+        key = (model, service, version, adapter)
         if key not in self.masks:
             serving = [self._serves(state, *key) for state in self.states.values()]
             self.masks[key] = np.array(serving, dtype=bool)
@@ -394,17 +403,29 @@
             return mask
         return mask & np.array([name not in excluded for name in self.names], dtype=bool)
 
-    def _serves(self, state: EndpointState, model: str, service: str, version: str) -> bool:
+    def _serves(
+        self, state: EndpointState, model: str, service: str, version: str, adapter: str
+    ) -> bool:
         endpoint = state.endpoint
-        is_listed = model in endpoint.models or service in endpoint.services
-        return is_listed and state.weights.get(model, version) == version
-
-    def set_weights(self, name: str, weights: dict[str, str]) -> None:
-        """Record the weights versions that an endpoint reports."""
+        if service in endpoint.services:
+            return True
+        is_ready = model in endpoint.models and state.role != DECODE_ROLE
+        has_weights = state.weights.get(model, version) == version
+        return is_ready and has_weights and _has_adapter(state, model, adapter)
+
+    def set_loaded(
+        self, name: str, weights: dict[str, str], adapters: dict[str, str] | None, role: str
+    ) -> None:
+        """Record the weights, adapters and role that an endpoint reports."""
         state = self.states.get(name)
-        if state is not None and state.weights != weights:
-            state.weights = weights
-            self.masks.clear()
+        if state is None or (state.weights, state.adapters, state.role) == (
+            weights,
+            adapters,
+            role,
+        ):
+            return
+        state.weights, state.adapters, state.role = weights, adapters, role
+        self.masks.clear()
 
     def set_leaving(self, names: frozenset[str]) -> None:
         """Record which endpoints the platform is about to take away."""
@@ -430,6 +451,14 @@
             state.ejected_until = 0.0
 
 
+def _has_adapter(state: EndpointState, model: str, adapter: str) -> bool:
+    """Return whether an adapter is loaded, as far as the endpoint reports adapters."""
+    if not adapter or state.adapters is None:
+        return True
+    name, _, version = adapter.partition("@")
+    return state.adapters.get(f"{model}/{name}") == version
+
+
 def _weight(endpoint: config.Endpoint) -> float:
     """Return the weight in rendezvous hashing: the geometric mean of speed and cache size."""
     return math.sqrt(endpoint.prefill_tokens_per_second * endpoint.cache_pieces)
--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -328,6 +328,7 @@
             continue_text=completion.joined_text(self.sent),
             may_reuse_connection=head.workload.idempotent,
             transfer=assignment.transfer,
+            adapter=request.adapter,
         )
 
     def _take(self, part: engine.Part, base: int, is_continued: bool) -> engine.Part:
--- /dev/null
+++ b/bronzemux/orders.py
@@ -0,0 +1,33 @@
+"""What an endpoint still has to be ordered, from the configuration and what it reports."""
+
+from bronzemux import config, engine, fleet
+
+
+def desired_version(model: config.Model) -> str:
+    """Return the weights version that every endpoint of a model should have."""
+    return model.next_weights_version or model.weights_version
+
+
+def missing(
+    model: config.Model, endpoint: config.Endpoint, state: fleet.EndpointState
+) -> engine.Order | None:
+    """Return the next order for an endpoint, without a fencing token; None when it needs none.
+
+    Weights come before adapters, adapters before the role. What an endpoint does not report is
+    not ordered. The role is ordered with the first model of the endpoint.
+
+    Args:
+      model: Model of the endpoint.
+      endpoint: The endpoint.
+      state: What it reported.
+    """
+    version = desired_version(model)
+    if state.weights.get(model.name, "") not in ("", version):
+        return engine.Order(model.name, version, 0)
+    for adapter in model.adapters if state.adapters is not None else ():
+        if state.adapters.get(engine.adapter_key(model.name, adapter.name)) != adapter.version:
+            return engine.Order(model.name, "", 0, adapter=f"{adapter.name}@{adapter.version}")
+    is_first = endpoint.models[0] == model.name
+    if is_first and endpoint.role and state.role not in ("", endpoint.role):
+        return engine.Order(model.name, "", 0, role=endpoint.role)
+    return None
--- a/bronzemux/rollout.py
+++ b/bronzemux/rollout.py
@@ -15,6 +15,7 @@
     lease,
     logs,
     messages,
+    orders,
     porcelain,
     supervisor,
     table,
@@ -57,8 +58,10 @@
       endpoint: The endpoint.
       slot: Lease on one of the weight loads that may run at once.
       started: Monotonic seconds.
+      order: The order, without its fencing token.
     """
 
+    order: engine.Order
     endpoint: config.Endpoint
     slot: lease.Lease
     started: float
@@ -78,19 +81,14 @@
     error: errors.BronzemuxError | None
 
 
-def desired_version(model: config.Model) -> str:
-    """Return the weights version that every endpoint of a model should have."""
-    return model.next_weights_version or model.weights_version
-
-
 class RolloutTask(supervisor.Task):
     """Carries out rollouts of the models in one data centre.
 
     One lease for each model and data centre says which router gives orders, and one lease for
     each weight load that may run at once keeps the weight store's rate over all data centres.
-    Orders name the desired version, may be repeated, and
-    also bring an endpoint back that has another version while no rollout is under way. An endpoint that ignores fencing tokens
-    gets its first order only when orders of an earlier holder have ended.
+    Orders name the desired weights, adapter or role, may be repeated, and also bring an endpoint
+    back that has another version while no rollout is under way. An endpoint that ignores fencing
+    tokens gets its first order only when orders of an earlier holder have ended.
 
     Args:
       settings: Settings.
@@ -111,7 +109,7 @@
         self.leases: dict[str, lease.Lease] = {}
         self.slots: list[lease.Lease] = []
         self.steps: dict[tuple[str, str], Step] = {}
-        self.attempts: dict[tuple[str, str, str], int] = {}
+        self.attempts: dict[tuple[engine.Order, str], int] = {}
 
     @functools.singledispatchmethod
     def handle(self, message):
@@ -173,8 +171,7 @@
     # One model
 
     def _advance(self, model: config.Model) -> None:
-        weights = self._weights(model.name)
-        pending = self._pending(model, weights)
+        pending = self._pending(model)
         is_idle = not model.next_weights_version and not pending
         if is_idle and not self._steps_of(model):
             self._release(model)
@@ -182,13 +179,13 @@
         held = self._lease_of(model)
         if not held.maintain():
             return
-        self._check_steps(model, weights)
+        self._check_steps(model)
         if model.is_rollout_paused:
             return
         if pending:
             self._start_steps(model, held, pending)
         elif model.next_weights_version:
-            self._finish_if_done(model, weights)
+            self._finish_if_done(model, self._weights(model.name))
 
     def _lease_of(self, model: config.Model) -> lease.Lease:
         name = f"rollout/{model.name}/{self.settings.data_centre}"
@@ -212,12 +209,17 @@
     def _endpoints(self, model: config.Model) -> list[config.Endpoint]:
         return [e for e in self.document.endpoints if model.name in e.models]
 
-    def _pending(self, model: config.Model, weights: dict[str, str]) -> list[config.Endpoint]:
+    def _missing(self, model: config.Model, endpoint: config.Endpoint) -> engine.Order | None:
+        """Return what an endpoint still has to be ordered."""
+        state = self.target.fleet.states.get(endpoint.name)
+        return orders.missing(model, endpoint, state) if state else None
+
+    def _pending(self, model: config.Model) -> list[config.Endpoint]:
         return [
             endpoint
             for endpoint in self._endpoints(model)
             if endpoint.data_centre == self.settings.data_centre
-            and weights.get(endpoint.name, "") not in ("", desired_version(model))
+            and self._missing(model, endpoint) is not None
             and (model.name, endpoint.name) not in self.steps
         ]
 
@@ -230,11 +232,12 @@
             slot = self._free_slot()
             if slot is None:
                 return
-            if not held.is_held(ORDER_SECONDS) or not self._has_attempts(model, endpoint):
+            order = self._missing(model, endpoint)
+            if not held.is_held(ORDER_SECONDS) or not self._has_attempts(model, endpoint, order):
                 return
-            step = Step(endpoint, slot, self.clock.monotonic())
+            step = Step(order, endpoint, slot, self.clock.monotonic())
             self.steps[(model.name, endpoint.name)] = step
-            gevent.spawn(self._give_order, model, endpoint, held)
+            gevent.spawn(self._give_order, order, endpoint, held)
 
     def _free_slot(self) -> lease.Lease | None:
         used = {id(step.slot) for step in self.steps.values()}
@@ -243,8 +246,8 @@
                 return slot
         return None
 
-    def _has_attempts(self, model: config.Model, endpoint: config.Endpoint) -> bool:
-        key = (model.name, desired_version(model), endpoint.name)
+    def _has_attempts(self, model: config.Model, endpoint: config.Endpoint, order) -> bool:
+        key = (order, endpoint.name)
         self.attempts[key] = self.attempts.get(key, 0) + 1
         if self.attempts[key] <= MAX_ORDER_ATTEMPTS:
             return True
@@ -252,36 +255,38 @@
         self._halt(model, f"{endpoint.name} failed {MAX_ORDER_ATTEMPTS} times")
         return False
 
-    def _give_order(self, model: config.Model, endpoint: config.Endpoint, held) -> None:
-        order = engine.Order(model.name, desired_version(model), held.token)
+    def _give_order(self, wanted: engine.Order, endpoint: config.Endpoint, held) -> None:
+        order = dataclasses.replace(wanted, fencing_token=held.token)
         error = None
         try:
             if not held.is_held(ORDER_SECONDS):
                 raise errors.EndpointRefusedError("the lease ended", "its next holder goes on")
             logs.event(
                 "order_given",
-                model=model.name,
+                model=order.model,
                 version=order.weights_version,
+                adapter=order.adapter,
+                role=order.role,
                 endpoint=endpoint.name,
                 fencing_token=order.fencing_token,
             )
             self.engine_of(endpoint).order(order)
         except errors.EndpointError as failure:
             error = failure
-        self.send(OrderEnded(model.name, endpoint.name, error))
+        self.send(OrderEnded(order.model, endpoint.name, error))
 
-    def _check_steps(self, model: config.Model, weights: dict[str, str]) -> None:
-        """End the steps whose endpoint reports the version; halt on one that is late."""
+    def _check_steps(self, model: config.Model) -> None:
+        """End the steps whose endpoint reports what was ordered; halt on one that is late."""
         for (name, endpoint), step in list(self.steps.items()):
             if name != model.name:
                 continue
             step.slot.maintain()
-            if weights.get(endpoint) == desired_version(model):
+            if self._missing(model, step.endpoint) != step.order:
                 logs.event("endpoint_updated", model=name, endpoint=endpoint)
                 self._end_step(name, step)
             elif self.clock.monotonic() - step.started > self.settings.health_seconds:
                 self._end_step(name, step)
-                self._halt(model, f"{endpoint} did not report the new version in time")
+                self._halt(model, f"{endpoint} did not report what was ordered in time")
 
     def _end_step(self, model: str, step: Step) -> None:
         self.steps.pop((model, step.endpoint.name), None)
--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -19,6 +19,7 @@
     prompt,
     standin_answer,
     standin_cache,
+    standin_loading,
 )
 
 DEFAULT_MAX_TOKENS = 16
@@ -131,15 +132,18 @@
     ):
         self.store = store
         self.imports: list[tuple[str, int]] = []
-        self.loads = loads or standin_cache.LoadCounter()
-        self.most_loading = 0
         self.settings = settings
         self.clock = clock
         self.faults = Faults()
         self.executions: list[Execution] = []
-        self.orders: list[engine.Order] = []
-        self.highest_fence = 0
-        self.weights = dict(settings.models)
+        self.loading = standin_loading.Loading(
+            settings.models,
+            lambda: self.settings.load_seconds * self.faults.slowness,
+            clock,
+            loads or standin_cache.LoadCounter(),
+        )
+        self.orders = self.loading.orders
+        self.weights = self.loading.weights
         self.restarts = 0
         self.port = settings.port
         self.is_up = False
@@ -186,14 +190,6 @@
         """Let the connections that are open go silent for good; new ones work."""
         self.muted.update(self.server.open_sockets)
 
-    def _load(self, order: engine.Order) -> None:
-        self.most_loading = max(self.most_loading, self.loads.change(1))
-        try:
-            self.clock.sleep(self.settings.load_seconds * self.faults.slowness)
-        finally:
-            self.loads.change(-1)
-        self.weights[order.model] = order.weights_version
-
     # Interface
 
     def application(self, environ, start_response):
@@ -215,7 +211,9 @@
         body = json.loads(raw[: len(raw) - suffix])
         continue_text = raw[len(raw) - suffix :].decode()
         weights = environ.get("HTTP_X_WEIGHTS_VERSION", "")
-        if self.faults.refuses or self.weights.get(body.get("model")) != weights:
+        model = str(body.get("model")).partition(":")[0]
+        adapter = environ.get("HTTP_X_ADAPTER", "")
+        if self.faults.refuses or not self.loading.serves(model, weights, adapter):
             headers = [(engine_http.HEADER_OUTCOME, engine_http.OUTCOME_NOT_RUN)]
             return http_server.respond(start_response, 503, b'{"error":"refused"}', headers)
         if body.get("temperature", 0) > MAX_TEMPERATURE:
@@ -430,21 +428,21 @@
             "stored": [f"{key:016x}" for _, key, is_stored in events if is_stored],
             "evicted": [f"{key:016x}" for _, key, is_stored in events if not is_stored],
             "weights": self.weights,
+            "adapters": self.loading.adapters,
+            "role": self.loading.role,
         }
         return http_server.respond(start_response, 200, json.dumps(body).encode())
 
     def _order(self, environ, start_response):
         order = engine.Order(**json.loads(environ["wsgi.input"].read()))
-        if self.settings.checks_fencing and order.fencing_token < self.highest_fence:
+        loaded = self.loading
+        if self.settings.checks_fencing and order.fencing_token < loaded.highest_fence:
             headers = [(engine_http.HEADER_OUTCOME, engine_http.OUTCOME_NOT_RUN)]
             body = b'{"error":"old fencing token"}'
             return http_server.respond(start_response, HTTP_CONFLICT, body, headers)
         if self.faults.fails_to_load:
             return http_server.respond(start_response, 500, b'{"error":"weights not loaded"}')
-        self.highest_fence = max(self.highest_fence, order.fencing_token)
-        self.orders.append(order)
-        if order.weights_version and self.weights.get(order.model) != order.weights_version:
-            self._load(order)
+        loaded.carry_out(order)
         return http_server.respond(start_response, 200, b"{}")
 
 
--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -65,3 +65,45 @@
     Given a development deployment "centre"
     When every engine but "worker-5" has other weights and a chat is sent
     Then only "worker-5" ran it
+
+  Scenario: An adapter is loaded at every engine of its model, and again in another version
+    Given a development deployment "centre" with 3 routers
+    When operator "nino" runs "adapter set statute-7b plain 1"
+    Then every engine has adapter "plain" in version "1"
+    And team "caseworkers" gets an answer from "statute-7b:plain"
+    When operator "nino" runs "adapter set statute-7b plain 2"
+    Then every engine has adapter "plain" in version "2"
+    And team "caseworkers" gets an answer from "statute-7b:plain"
+    And at most 2 engines loaded weights at once
+
+  Scenario: An engine that could not load an adapter gets the order again, and no request for it meanwhile
+    Given a development deployment "centre" with 3 routers
+    And engine "worker-2" fails to load weights
+    When operator "nino" runs "adapter set statute-7b plain 1"
+    Then every engine but "worker-2" has adapter "plain" in version "1"
+    And team "caseworkers" gets 20 answers from "statute-7b:plain", none of "worker-2"
+    Given engine "worker-2" loads again
+    Then every engine has adapter "plain" in version "1"
+
+  Scenario: An engine that decodes only gets no prompts
+    Given a development deployment "centre" with 3 routers
+    When operator "nino" runs "endpoint role worker-1 decode --yes"
+    Then engine "worker-1" has the role "decode"
+    And team "caseworkers" gets 20 answers from "statute-7b", none of "worker-1"
+    When operator "nino" runs "endpoint role worker-1 mixed --yes"
+    Then engine "worker-1" has the role "mixed"
+
+  Scenario Outline: What an endpoint is ordered next
+    Given an endpoint with weights "<weights>", adapters "<adapters>" and role "<role>"
+    When version "2026-12", adapter "plain" in version "2" and role "prefill" are wanted
+    Then the next order is "<order>"
+
+    Examples:
+      | weights | adapters | role    | order         |
+      | 2026-11 | plain@1  | mixed   | weights       |
+      | 2026-12 | plain@1  | mixed   | adapter       |
+      | 2026-12 | none     | mixed   | adapter       |
+      | 2026-12 | unknown  | mixed   | role          |
+      | 2026-12 | plain@2  | mixed   | role          |
+      | 2026-12 | plain@2  | unknown | nothing       |
+      | unknown | plain@2  | prefill | nothing       |
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -3,12 +3,24 @@
 import gevent
 from behave import given, then, when
 
-from bronzemux import clock, config_store, engine, errors, lease, standin_answer, table
+from bronzemux import (
+    clock,
+    config,
+    config_store,
+    engine,
+    errors,
+    fleet,
+    lease,
+    orders,
+    standin_answer,
+    table,
+)
 from features import support
-from features.steps import streams_steps
+from features.steps import callers_steps, streams_steps
 
 MODEL = "statute-7b"
 STEP_SECONDS = 0.5
+ADAPTER_SECONDS = 60.0
 
 
 class FaultyTable(table.MemoryTable):
@@ -155,7 +167,7 @@
 
 @then("at most {count:d} engines loaded weights at once")
 def step_at_once(context, count):
-    most = max(item.most_loading for item in context.deployment.engines.values())
+    most = max(item.loading.most_loading for item in context.deployment.engines.values())
     assert 1 <= most <= count, most
 
 
@@ -243,3 +255,91 @@
 @then('only "{name}" ran it')
 def step_only(context, name):
     assert {item.endpoint for item in context.deployment.executions()} == {name}
+
+
+def has_adapter(item, name: str, version: str) -> bool:
+    """Return whether an engine has an adapter in a version."""
+    return item.loading.adapters.get(engine.adapter_key(MODEL, name)) == version
+
+
+@then('every engine has adapter "{name}" in version "{version}"')
+def step_adapter(context, name, version):
+    assert context.status == 0, context.output
+    engines = context.deployment.engines.values()
+    streams_steps.wait_for(
+        lambda: all(has_adapter(item, name, version) for item in engines), ADAPTER_SECONDS
+    )
+
+
+@then('every engine but "{other}" has adapter "{name}" in version "{version}"')
+def step_adapter_but(context, other, name, version):
+    engines = [e for e in context.deployment.engines.values() if e.settings.name != other]
+    streams_steps.wait_for(
+        lambda: all(has_adapter(item, name, version) for item in engines), ADAPTER_SECONDS
+    )
+
+
+@given('engine "{name}" loads again')
+def step_loads_again(context, name):
+    context.deployment.engines[name].faults.fails_to_load = False
+
+
+def ask(context, team: str, model: str) -> None:
+    """Ask for an answer of a model until the routers know where it is loaded."""
+    address = support.router_address(context.deployment)
+    body = callers_steps.chat(model=model, max_tokens=4)
+    key = context.deployment.key(team)
+
+    def is_answered() -> bool:
+        return support.send(address, "POST", callers_steps.CHAT, key, body).status == 200
+
+    streams_steps.wait_for(is_answered)
+
+
+@then('team "{team}" gets an answer from "{model}"')
+def step_answer(context, team, model):
+    ask(context, team, model)
+
+
+@then('team "{team}" gets {count:d} answers from "{model}", none of "{name}"')
+def step_answers(context, team, count, model, name):
+    ask(context, team, model)
+    before = len(context.deployment.engines[name].executions)
+    for _ in range(count):
+        ask(context, team, model)
+    assert len(context.deployment.engines[name].executions) == before
+
+
+@then('engine "{name}" has the role "{role}"')
+def step_role(context, name, role):
+    assert context.status == 0, context.output
+    target = context.deployment.engines[name]
+    streams_steps.wait_for(lambda: target.loading.role == role, ADAPTER_SECONDS)
+
+
+@given('an endpoint with weights "{weights}", adapters "{adapters}" and role "{role}"')
+def step_shape(context, weights, adapters, role):
+    context.endpoint = config.Endpoint("e", "dc", "127.0.0.1:1", models=(MODEL,), role="prefill")
+    state = fleet.EndpointState(context.endpoint)
+    state.weights = {} if weights == "unknown" else {MODEL: weights}
+    name, _, version = adapters.partition("@")
+    if adapters != "unknown":
+        state.adapters = {engine.adapter_key(MODEL, name): version}
+    state.role = "" if role == "unknown" else role
+    context.state = state
+
+
+@when('version "{version}", adapter "{name}" in version "{adapter}" and role "{role}" are wanted')
+def step_wanted(context, version, name, adapter, role):
+    assert context.endpoint.role == role
+    model = config.Model(MODEL, version, (config.Adapter(name, adapter),))
+    context.order = orders.missing(model, context.endpoint, context.state)
+
+
+@then('the next order is "{kind}"')
+def step_next_order(context, kind):
+    order = context.order
+    found = "nothing"
+    if order is not None:
+        found = "weights" if order.weights_version else "adapter" if order.adapter else "role"
+    assert found == kind, order
