Let relays read the VM list and pass its changes on in their data centre

Cause: every router read the whole VM list each second. Change: relays (two a data centre) read it each second and send changes to the other routers there, which read it every 15 s in case a change did not reach them. A relay still reads the whole list; at 5,500 VMs that needs a conditional read of the platform."

--- a/bronzemux/mesh.py
+++ b/bronzemux/mesh.py
@@ -53,9 +53,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Listed:
-    """The VM list changed."""
+    """The VM list changed.
+
+    Attributes:
+      vms: The list.
+      changes: What is to be passed on in the data centre, None for nothing.
+    """
 
     vms: tuple[vms.Vm, ...]
+    changes: vms.Changes | None = None
 
 
 class Mesh(supervisor.Task):
@@ -68,15 +74,17 @@
       target: Dispatcher that gets condemned requests and shares.
       offer: Called with configuration heads of others.
       on_members: Called with the members after each tick.
+      on_vms: Called with changes of the VM list that a relay passed on.
     """
 
-    def __init__(self, settings, clock: clocks.Clock, meters, target, offer, on_members):
+    def __init__(self, settings, clock: clocks.Clock, meters, target, offer, on_members, on_vms):
         super().__init__("mesh", clock, TICK_SECONDS)
         self.settings = settings
         self.meters: metrics.Metrics = meters
         self.target = target
         self.offer = offer
         self.on_members = on_members
+        self.on_vms = on_vms
         self.peers: dict[str, peers.Peer] = {}
         self.heads: dict[int, bytes] = {}
         self.head_version = 0
@@ -248,6 +256,19 @@
             if vm.role == "router" and vm.peer_address and not vm.is_leaving
         }
         self.membership.seed(self._without_known_addresses() | routers)
+        if message.changes is not None:
+            self._spread(wire.VmChanges(message.changes.listed, message.changes.gone))
+
+    def _spread(self, message: wire.VmChanges) -> None:
+        """Send a message to the other routers of this data centre."""
+        own = self.membership.own
+        for member in self.membership.alive():
+            if member.data_centre == own.data_centre and member.name != own.name:
+                self._send(member.address, message)
+
+    @handle.register
+    def _vm_changes(self, message: wire.VmChanges) -> None:
+        self.on_vms(vms.Changes(message.listed, message.gone))
 
     def _without_known_addresses(self) -> dict[str, tuple[str, str]]:
         """Return the configured peers that no member has as its address."""
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -103,6 +103,7 @@
             self.dispatcher,
             lambda head: self.config_watcher.send(head),
             self._publish_members,
+            lambda changes: self.vm_watcher.send(changes),
         )
         self.committer = committer.Committer(self.table, self.clock, self.meters)
         self.settler = settler.Settler(self.committer, self.table, self.clock)
@@ -221,15 +222,17 @@
         self._update_watchers(snapshot.config)
         self._publish_leaving()
 
-    def _publish_vms(self, listed: tuple[vms.Vm, ...]) -> None:
+    def _publish_vms(self, listed: tuple[vms.Vm, ...], changes: vms.Changes | None) -> None:
         self.status.listed = listed
-        self.mesh.send(mesh.Listed(listed))
+        self.mesh.send(mesh.Listed(listed, changes))
         self._publish_leaving()
 
     def _publish_members(self, members: list[wire.Member]) -> None:
         away = [m for m in members if m.is_draining or m.state is wire.MemberState.DEAD]
         self.status.dead_routers = frozenset(member.name for member in away)
-        self.config_watcher.is_relay = self.mesh.membership.is_relay()
+        is_relay = self.mesh.membership.is_relay()
+        self.config_watcher.is_relay = is_relay
+        self.vm_watcher.is_relay = is_relay
         for state in wire.MemberState:
             count = sum(member.state is state for member in members)
             self.meters.members.labels(state.name.lower()).set(count)
--- a/bronzemux/vms.py
+++ b/bronzemux/vms.py
@@ -28,6 +28,33 @@
     peer_address: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """Difference of two VM lists.
+
+    Attributes:
+      listed: VMs that are new or changed.
+      gone: Names of VMs that are no longer listed.
+    """
+
+    listed: tuple[Vm, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
+def changes(old: tuple[Vm, ...], new: tuple[Vm, ...]) -> Changes:
+    """Return the difference of two lists."""
+    before = {vm.name: vm for vm in old}
+    names = {vm.name for vm in new}
+    listed = tuple(vm for vm in new if before.get(vm.name) != vm)
+    return Changes(listed, tuple(name for name in before if name not in names))
+
+
+def apply(old: tuple[Vm, ...], change: Changes) -> tuple[Vm, ...]:
+    """Return a list after a change; VMs that the change does not name stay."""
+    kept = {vm.name: vm for vm in old if vm.name not in change.gone}
+    return tuple((kept | {vm.name: vm for vm in change.listed}).values())
+
+
 class VmList:
     """Interface of the platform's VM list."""
 
--- a/bronzemux/watcher.py
+++ b/bronzemux/watcher.py
@@ -26,6 +26,7 @@
 CONFIG_SECONDS = 1.0
 CONFIG_SLOW_SECONDS = 15.0
 VM_LIST_SECONDS = 1.0
+VM_LIST_SLOW_SECONDS = 15.0
 BACKOFF_LIMIT_SECONDS = 8.0
 JITTER = 0.3
 
@@ -189,10 +190,13 @@
 class VmWatcher(supervisor.Task):
     """Reads the VM list and passes on which endpoints and routers there are.
 
+    Relays read it often and pass changes on in their data centre; the other routers read it
+    seldom, in case a change did not reach them.
+
     Args:
       source: VM list.
       clock: Source of time.
-      publish: Called with the list after each change.
+      publish: Called with the list after each change, and with what a relay passes on or None.
       meters: Metrics of the router.
       seed: Seed of the jitter.
     """
@@ -204,6 +208,20 @@
         self.meters: metrics.Metrics = meters
         self.random = random.Random(seed)
         self.vms: tuple[vms.Vm, ...] = ()
+        self.is_relay = True
+
+    @functools.singledispatchmethod
+    def handle(self, message):
+        """Handle one message."""
+        return super().handle(message)
+
+    @handle.register
+    def _take(self, message: vms.Changes) -> None:
+        """Take changes that a relay passed on."""
+        found = vms.apply(self.vms, message)
+        if found != self.vms:
+            self.vms = found
+            self.publish(found, None)
 
     def tick(self) -> None:
         """Read the list once."""
@@ -215,10 +233,12 @@
             logs.event("vm_list_failed", "debug", cause=error.message)
             return
         spread = 1 + JITTER * (2 * self.random.random() - 1)
-        self.next_tick = self.clock.monotonic() + VM_LIST_SECONDS * spread
+        period = VM_LIST_SECONDS if self.is_relay else VM_LIST_SLOW_SECONDS
+        self.next_tick = self.clock.monotonic() + period * spread
         if found != self.vms:
+            changes = vms.changes(self.vms, found) if self.vms and self.is_relay else None
             self.vms = found
-            self.publish(found)
+            self.publish(found, changes)
 
 
 def leaving_endpoints(document: config.Config, listed: tuple[vms.Vm, ...]) -> frozenset[str]:
--- a/bronzemux/wire.py
+++ b/bronzemux/wire.py
@@ -5,7 +5,7 @@
 
 import cbor2
 
-from bronzemux import errors
+from bronzemux import errors, vms
 
 WIRE_VERSION = 1
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -169,6 +169,19 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True)
+class VmChanges:
+    """Change of the VM list that a relay passes on in its data centre.
+
+    Attributes:
+      listed: VMs that are new or changed.
+      gone: Names of VMs that are no longer listed.
+    """
+
+    listed: tuple[vms.Vm, ...]
+    gone: tuple[str, ...]
+
+
 TYPES = (
     Ping,
     Ack,
@@ -180,6 +193,7 @@
     ConfigDelta,
     Demand,
     Grant,
+    VmChanges,
 )
 CODES = {kind: code for code, kind in enumerate(TYPES)}
 
@@ -227,6 +241,10 @@
         return _gossip(value)
     if name in ("teams", "shares"):
         return tuple((str(team), float(number)) for team, number in value)
+    if name == "listed":
+        return tuple(_vm(item) for item in value)
+    if name == "gone":
+        return tuple(_typed(item, str) for item in value)
     if name in ("head", "middle", "digest"):
         return _typed(value, bytes)
     if name == "seconds":
@@ -249,6 +267,12 @@
     return Member(*texts, number, MemberState(state), bool(is_draining), _typed(boot, int))
 
 
+def _vm(fields) -> vms.Vm:
+    name, data_centre, address, role, is_leaving, peer_address = fields
+    texts = [_typed(text, str) for text in (name, data_centre, address, role)]
+    return vms.Vm(*texts, _typed(is_leaving, bool), _typed(peer_address, str))
+
+
 def _gossip(fields) -> Gossip:
     sender, version, members, condemned = fields
     return Gossip(
--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -75,6 +75,13 @@
     When the VM list says that "worker-1" is leaving
     Then no router gives "worker-1" new work
 
+  Scenario: Relays pass on which endpoints leave, and the other routers seldom read the VM list
+    Given a development deployment "centre" with 9 routers
+    When all routers know which of them are relays
+    And the VM list says that "worker-1" is leaving
+    Then no router gives "worker-1" new work
+    And in 3 seconds routers that are no relays read the VM list at most once
+
   Scenario: A team's limit holds over all routers
     Given a development deployment "centre" with 3 routers
     And team "training" may send 6 requests a second
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -5,7 +5,7 @@
 import cbor2
 from behave import given, then, when
 
-from bronzemux import config_delta, config_store, fake_network, shares, signing, wire
+from bronzemux import config_delta, config_store, fake_network, shares, signing, vms, wire
 
 SETTLE_SECONDS = 40.0
 
@@ -159,6 +159,9 @@
     wire.ConfigDelta(5, 1, 2, b"middle", b"digest"),
     wire.Demand(MEMBER, (("team", 1.5),)),
     wire.Grant((("team", 0.5),), 3.0),
+    wire.VmChanges(
+        (vms.Vm("vm-1", "dc", "127.0.0.1:1", "router", True, "127.0.0.1:2"),), ("vm-2",)
+    ),
 )
 
 
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -6,7 +6,16 @@
 import gevent
 from behave import given, then, when
 
-from bronzemux import clock, config_edit, config_store, errors, peers, porcelain, standin_answer
+from bronzemux import (
+    clock,
+    config_edit,
+    config_store,
+    errors,
+    membership,
+    peers,
+    porcelain,
+    standin_answer,
+)
 from features import support
 from features.steps import callers_steps, streams_steps
 
@@ -159,6 +168,36 @@
     context.deployment.platform.vms.set_leaving(name)
 
 
+def relays(context) -> list[bool]:
+    """Return for each router whether it reads the VM list often."""
+    return [item.vm_watcher.is_relay for item in context.deployment.routers]
+
+
+@when("all routers know which of them are relays")
+def step_relays(context):
+    data_centres = len(context.deployment.document.deployment.data_centres)
+    count = membership.RELAYS * data_centres
+    streams_steps.wait_for(lambda: sum(relays(context)) == count)
+
+
+def vm_readings(router) -> float:
+    """Return how often a router read the VM list."""
+    found = router.meters.registry.get_sample_value(
+        "bronzemux_platform_calls_total", {"purpose": "vms", "result": "ok"}
+    )
+    return found or 0.0
+
+
+@then("in {seconds:d} seconds routers that are no relays read the VM list at most once")
+def step_readings(context, seconds):
+    routers = context.deployment.routers
+    before = [vm_readings(item) for item in routers]
+    gevent.sleep(seconds)
+    counts = [vm_readings(item) - old for item, old in zip(routers, before, strict=True)]
+    assert all(n <= 1 for n, often in zip(counts, relays(context), strict=True) if not often)
+    assert any(n > 1 for n, often in zip(counts, relays(context), strict=True) if often), counts
+
+
 @given('team "{team}" may send {count:d} requests a second')
 def step_limit(context, team, count):
     def change(document) -> None:
