Cut router processes off from one another in a test, and split the dispatcher

Cause: a partition was tested on the fake network only; a router that listens on all addresses told peers 0.0.0.0; the dispatcher had grown to 560 lines; a router that could not reach an engine for a moment refused its exports to the KV cache store for good.

--- a/bronzemux/cache_store.py
+++ b/bronzemux/cache_store.py
@@ -169,6 +169,10 @@
         for key in gone:
             del self.exporters[key]
 
+    def revive(self, incarnation: str) -> None:
+        """Accept exports of an engine again that was only out of reach."""
+        self.dead.pop(incarnation, None)
+
     def _refilled(self, rate: float, now: float) -> limits.Bucket:
         if self.bucket is None:
             self.bucket = limits.Bucket(rate, rate * limits.BURST_SECONDS, now)
--- a/bronzemux/cli_router.py
+++ b/bronzemux/cli_router.py
@@ -18,6 +18,11 @@
 flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on.")
 flags.DEFINE_integer("port", 8080, "TCP port for callers.")
 flags.DEFINE_integer("peer_port", 8081, "TCP port for other routers.")
+flags.DEFINE_string(
+    "advertised_peer_address",
+    "",
+    "IP-number:port told to other routers, if not the one listened on.",
+)
 flags.DEFINE_string("platform_host", "127.0.0.1", "IP number of the platform's services.")
 flags.DEFINE_integer("platform_port", 7000, "TCP port of the platform's services.")
 flags.DEFINE_list("mesh_keys", [], "Keys shared by all routers; the first one signs.")
@@ -31,6 +36,9 @@
 flags.DEFINE_enum("log_level", "info", list(logs.LEVELS), "Least level that is logged.")
 for port_flag in ("port", "peer_port", "platform_port"):
     flags.register_validator(port_flag, settings.check_port, "give a TCP port or 0")
+flags.register_validator(
+    "advertised_peer_address", settings.check_address, "give IP-number:port or leave it empty"
+)
 for text_flag in ("name", "data_centre"):
     flags.register_validator(text_flag, bool, f"set --{text_flag} or its environment variable")
 flags.register_validator(
@@ -63,6 +71,7 @@
         host=FLAGS.host,
         port=FLAGS.port,
         peer_port=FLAGS.peer_port,
+        advertised_peer_address=FLAGS.advertised_peer_address,
         platform_host=FLAGS.platform_host,
         platform_port=FLAGS.platform_port,
         mesh_keys=tuple(FLAGS.mesh_keys),
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -4,15 +4,15 @@
 import functools
 import random
 
-import numpy as np
-
 from bronzemux import (
     admission,
     cache_store,
+    candidates,
     config,
     engine,
     errors,
     fleet,
+    health,
     index,
     limits,
     logs,
@@ -34,9 +34,6 @@
 REFUSAL_RETRY_SECONDS = 1.0
 REFUSAL_RATIO = 1.0
 MIN_REFUSALS_PER_WINDOW = 20
-REFUSAL_PAUSE_SECONDS = 0.3
-MAX_LOST = 1_000
-LOST_SECONDS = 30.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,10 +85,20 @@
         self.refusal_budget = retries.RetryBudget(MIN_REFUSALS_PER_WINDOW)
         self.quarantine = quarantine.Quarantine()
         self.running: dict[str, dict[str, requests.Request]] = {}
-        self.lost: dict[str, dict[str, tuple[str, float]]] = {}
         self.preferences = preferences.Preferences()
         self.store = cache_store.CacheStore()
-        self.random = random.Random(self.settings.data_centre)
+        seeded = random.Random(self.settings.data_centre)
+        self.candidates = candidates.Candidates(self.fleet, self.quarantine, self.running, seeded)
+        self.health = health.Health(
+            self.fleet,
+            self.index,
+            self.store,
+            self.quarantine,
+            self.running,
+            self.meters,
+            self.clock,
+            lambda fingerprints: self.announce(fingerprints),
+        )
         self.counted: set[str] = set()
         self.prefilling: set[tuple[str, str]] = set()
         self.computed_share = 1.0
@@ -156,11 +163,11 @@
         self.fleet.end_work(name)
         self.running.get(name, {}).pop(assignment.request.head.id, None)
         if message.incarnation:
-            self._see_incarnation(name, message.incarnation)
+            self.health.see_incarnation(name, message.incarnation)
         if message.error is None:
             self._learn(message)
         else:
-            self._record_failure(message)
+            self.health.fail(message)
         self._pump()
 
     @handle.register
@@ -176,7 +183,8 @@
         if name not in self.fleet.states:
             return
         now = self.clock.monotonic()
-        self._see_incarnation(name, message.state.load.incarnation)
+        self.health.see_incarnation(name, message.state.load.incarnation)
+        self.store.revive(message.state.load.incarnation)
         self.fleet.take_load_report(message.state.load, now)
         loaded = message.state
         adapters = None if loaded.adapters is None else dict(loaded.adapters)
@@ -202,7 +210,7 @@
             return
         if self.fleet.fail(message.endpoint, self.clock.monotonic(), is_dead=True):
             logs.event("endpoint_down", "warning", endpoint=message.endpoint)
-        self._bury(message.endpoint, state.incarnation)
+        self.health.bury(message.endpoint, state.incarnation)
 
     @handle.register
     def _leaving(self, message: messages.LeavingEndpoints) -> None:
@@ -306,7 +314,7 @@
             deadline=head.deadline,
             payload=message,
         )
-        if not self._any_endpoint(request).any():
+        if not self.candidates.configured(request).any():
             raise errors.UnavailableError(
                 "no endpoint serves this", "send again after Retry-After", REFUSAL_RETRY_SECONDS
             )
@@ -358,14 +366,10 @@
 
     def _choose(self, view, message: messages.Admit) -> routing.Choice | None:
         request = message.request
-        options = self._options(message)
-        if self.quarantine.is_suspect(request.fingerprint):
-            free = ~self._suspect_mask()
-            options = [(variant, allowed & free) for variant, allowed in options]
-        options = [option for option in options if option[1].any()]
-        if not options:
+        found = self.candidates.pick(message)
+        if found is None:
             return None
-        variant, allowed = self._pick(options)
+        variant, allowed = found
         demand = self._demand(request, variant, allowed)
         preset = self.snapshot.preset
         weights = routing.Weights(preset.load_weight, preset.reuse_weight)
@@ -373,41 +377,6 @@
         choice = self.settings.policy.choose(view, demand, overlaps, weights)
         return choice and dataclasses.replace(choice, variant=variant, stored=demand.stored)
 
-    def _options(self, message: messages.Admit) -> list[tuple[requests.Variant | None, np.ndarray]]:
-        """Return the endpoints that may take a request, by weights version."""
-        request = message.request
-        if isinstance(request, requests.ServiceRequest):
-            allowed = self.fleet.allowed("", request.service, message.excluded)
-            return [(None, allowed if allowed.any() else self._any_endpoint(request))]
-        variants = [
-            variant
-            for variant in request.variants
-            if message.weights_version in ("", variant.weights_version)
-        ]
-        found = [(v, self._serving(request, v, message.excluded)) for v in variants]
-        if any(allowed.any() for _, allowed in found):
-            return found
-        return [(v, self._serving(request, v, frozenset())) for v in variants]
-
-    def _serving(self, request, variant: requests.Variant, excluded: frozenset[str]) -> np.ndarray:
-        return self.fleet.allowed(
-            request.model, "", excluded, variant.weights_version, request.adapter
-        )
-
-    def _any_endpoint(self, request: requests.Request) -> np.ndarray:
-        """Return the endpoints that are configured for a request."""
-        if isinstance(request, requests.ServiceRequest):
-            return self.fleet.allowed("", request.service, frozenset())
-        masks = [self._serving(request, variant, frozenset()) for variant in request.variants]
-        return np.logical_or.reduce(masks)
-
-    def _pick(self, options):
-        """Return one weights version, in proportion to the endpoints that run it."""
-        if len(options) == 1:
-            return options[0]
-        counts = [int(allowed.sum()) for _, allowed in options]
-        return self.random.choices(options, counts)[0]
-
     def _demand(self, request: requests.Request, variant, allowed) -> routing.Demand:
         piece_tokens = self.snapshot.config.deployment.piece_bytes // config.BYTES_PER_TOKEN
         if isinstance(request, requests.ModelRequest):
@@ -416,13 +385,6 @@
             return routing.Demand(variant.chain, request.tokens, piece_tokens, allowed, stored)
         return routing.Demand((), 1, piece_tokens, allowed)
 
-    def _suspect_mask(self) -> np.ndarray:
-        return np.array([self._runs_suspect(name) for name in self.fleet.states], dtype=bool)
-
-    def _runs_suspect(self, name: str) -> bool:
-        running = self.running.get(name, {}).values()
-        return any(self.quarantine.is_suspect(request.fingerprint) for request in running)
-
     def _assign(self, message: messages.Admit, choice: routing.Choice, now: float) -> None:
         request = message.request
         endpoint = self.fleet.states[choice.endpoint].endpoint
@@ -487,50 +449,6 @@
             self.meters.prompt_tokens.inc(message.prompt_tokens)
             self.meters.cached_tokens.inc(message.cached_tokens)
 
-    def _record_failure(self, message: messages.AttemptEnded) -> None:
-        error, assignment = message.error, message.assignment
-        name = assignment.endpoint.name
-        self.meters.attempt_failures.labels(type(error).__name__).inc()
-        if isinstance(error, errors.EndpointRejectedError | errors.EndpointAbandonedError):
-            return
-        now = self.clock.monotonic()
-        if isinstance(error, errors.EndpointRefusedError):
-            self.fleet.pause(name, now + REFUSAL_PAUSE_SECONDS)
-            return
-        is_dead = isinstance(error, errors.EndpointUnreachableError)
-        if self.fleet.fail(name, now, is_dead):
-            logs.event("endpoint_ejected", "warning", endpoint=name, cause=type(error).__name__)
-        if not is_dead:
-            self._note_lost(name, assignment.request, now)
-
-    def _note_lost(self, name: str, request: requests.Request, now: float) -> None:
-        """Remember a request whose attempt broke off, in case the endpoint turns out dead."""
-        lost = self.lost.setdefault(name, {})
-        lost[request.head.id] = (request.fingerprint, now)
-        while len(lost) > MAX_LOST:
-            del lost[next(iter(lost))]
-
-    def _see_incarnation(self, name: str, incarnation: str) -> None:
-        state = self.fleet.states.get(name)
-        old = state.incarnation if state else ""
-        if self.fleet.see_incarnation(name, incarnation, self.clock.monotonic()):
-            logs.event("endpoint_returned", endpoint=name, incarnation=incarnation)
-            self._bury(name, old)
-
-    def _bury(self, name: str, incarnation: str) -> None:
-        """Drop the cache entries of a process that died, and suspect what ran on it."""
-        self.index.forget(name)
-        self.store.forget(incarnation)
-        now = self.clock.monotonic()
-        lost = self.lost.pop(name, {}).values()
-        prints = {fingerprint for fingerprint, at in lost if now - at < LOST_SECONDS}
-        prints |= {request.fingerprint for request in self.running.get(name, {}).values()}
-        fresh = self.quarantine.record_death(name, incarnation, prints, now)
-        if fresh:
-            self.meters.quarantined.inc(len(fresh))
-            logs.event("quarantined", "warning", fingerprints=",".join(fresh))
-            self.announce(tuple(fresh))
-
 
 def token_cost(request: requests.Request) -> float:
     """Return the tokens by which a request counts against limits and shares."""
--- a/bronzemux/mesh.py
+++ b/bronzemux/mesh.py
@@ -98,7 +98,7 @@
         self.port = settings.peer_port
         self.server: peers.PeerServer | None = None
         self._listen()
-        address = f"{settings.host}:{self.port}"
+        address = settings.advertised_peer_address or f"{settings.host}:{self.port}"
         boot = int(clock.now().timestamp() * 1000)
         own = wire.Member(settings.name, settings.data_centre, address, boot, boot=boot)
         self.membership = membership.Membership(own, settings.name)
--- a/bronzemux/settings.py
+++ b/bronzemux/settings.py
@@ -1,6 +1,7 @@
 """Settings from flags and environment variables."""
 
 import dataclasses
+import ipaddress
 import os
 import sys
 
@@ -23,6 +24,8 @@
       host: IP number to listen on.
       port: TCP port for callers.
       peer_port: TCP port for other routers.
+      advertised_peer_address: IP number and port that other routers are told, empty for those
+        it listens on.
       platform_host: IP number of the platform's services.
       platform_port: TCP port of the platform's services.
       mesh_keys: Shared keys between routers; the first one signs, all are accepted.
@@ -40,6 +43,7 @@
     host: str = "127.0.0.1"
     port: int = 0
     peer_port: int = 0
+    advertised_peer_address: str = ""
     platform_host: str = "127.0.0.1"
     platform_port: int = 7000
     mesh_keys: tuple[str, ...] = (DEFAULT_MESH_KEY,)
@@ -109,6 +113,16 @@
     raise SystemExit(status)
 
 
+def check_address(value: str) -> bool:
+    """Return whether a text is empty or an IP number with a TCP port."""
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return not value
+    return port.isdigit() and check_port(int(port))
+
+
 def check_port(value: int) -> bool:
     """Return whether a number is a TCP port or 0."""
     return 0 <= value < 65536
--- a/features/cache_store.feature
+++ b/features/cache_store.feature
@@ -8,7 +8,11 @@
     Then 0 pieces are offered
     When a late answer says that "worker-1/0" exported 8 pieces
     Then 0 pieces are offered
-    When "worker-1/1" exports 6 pieces
+    When "worker-1/0" turns out to have been out of reach only
+    And "worker-1/0" exports 8 pieces
+    Then 8 pieces are offered from "worker-1/0"
+    When "worker-1/0" dies
+    And "worker-1/1" exports 6 pieces
     Then 6 pieces are offered from "worker-1/1"
 
   Scenario: The prompt of another team or weights version finds nothing
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -13,6 +13,18 @@
     And process 2 goes on
     Then all processes but 3 report version 3 and preset "ordinary"
 
+  Scenario: Routers that are cut off from one another serve on, and find one another again
+    Given stand-ins of "centre" and 3 router processes behind links
+    When all links are cut
+    Then every process holds all others for dead
+    And a chat through each process gives a whole answer
+    When operator "nino" runs "preset use peak" at process 1
+    Then all processes report version 2 and preset "peak"
+    When all links work again
+    Then every process holds all others for alive
+    When the platform goes down for good and process 3 is started anew
+    Then all processes report version 2 and preset "peak"
+
   Scenario: A planned stop cuts no request and exits with 0
     Given stand-ins of "centre" and 2 router processes
     And engines take 0.05 seconds a word
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -11,6 +11,7 @@
       | router  | --data_centre=b --mesh_keys=k       |                            | --name                |
       | router  | --name=a --data_centre=b --mesh_keys=k --port=70000 |            | --port                |
       | router  | --name=a --data_centre=b --mesh_keys=k | BRONZEMUX_PORT=many     | BRONZEMUX_PORT='many' |
+      | router  | --name=a --data_centre=b --mesh_keys=k --advertised_peer_address=vm:1 |  | --advertised_peer_address |
       | router  | --unknown                           |                            | unknown               |
       | dev     |                                     | BRONZEMUX_ROUTERS=99       | BRONZEMUX_ROUTERS     |
       | dev     | --examples=none                     |                            | --examples='none'     |
--- a/features/steps/cache_store_steps.py
+++ b/features/steps/cache_store_steps.py
@@ -51,6 +51,11 @@
     context.store.forget(incarnation)
 
 
+@when('"{incarnation}" turns out to have been out of reach only')
+def step_revived(context, incarnation):
+    context.store.revive(incarnation)
+
+
 @when('a late answer says that "{incarnation}" exported {count:d} pieces')
 @when('"{incarnation}" exports {count:d} pieces')
 def step_learn(context, incarnation, count):
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -12,7 +12,7 @@
 from gevent import subprocess
 
 from bronzemux import engine_http, errors, http_client, standin_answer, vms
-from features import support
+from features import link, support
 from features.steps import callers_steps, ctl_steps, streams_steps
 
 DATA_CENTRES = ("tbilisi-1", "tbilisi-2", "tbilisi-3")
@@ -28,14 +28,17 @@
 class Process:
     """One bronzemux-router process."""
 
-    def __init__(self, number: int, platform_port: int, peers: list[str]):
+    def __init__(self, number: int, platform_port: int, peers: list[str], has_link: bool = False):
         self.port, self.peer_port = free_port(), free_port()
+        self.link = link.Link(self.peer_port) if has_link else None
+        self.peer_address = self.link.address if self.link else f"127.0.0.1:{self.peer_port}"
         self.log = tempfile.TemporaryFile()  # noqa: SIM115 - open as long as the process
         words = [
             f"--name=vm-{number}",
             f"--data_centre={DATA_CENTRES[number % 3]}",
             f"--port={self.port}",
             f"--peer_port={self.peer_port}",
+            f"--advertised_peer_address={self.peer_address}",
             f"--platform_port={platform_port}",
             f"--peers={','.join(peers)}",
             "--mesh_keys=development-only",
@@ -62,6 +65,8 @@
             self.popen.send_signal(signal.SIGCONT)
             self.popen.kill()
             self.popen.wait()
+        if self.link is not None:
+            self.link.close()
 
     def status(self) -> dict:
         """Return what the router says of itself, empty when it does not answer."""
@@ -71,10 +76,10 @@
             return {}
 
 
-def start(context, number: int) -> None:
+def start(context, number: int, has_link: bool = False) -> None:
     """Start a process and list its VM."""
-    peers = [f"127.0.0.1:{process.peer_port}" for process in context.processes]
-    process = Process(number, context.deployment.platform.port, peers)
+    peers = [process.peer_address for process in context.processes]
+    process = Process(number, context.deployment.platform.port, peers, has_link)
     context.cleanups.append(process.end)
     context.processes.append(process)
     name = f"vm-{number}"
@@ -83,7 +88,7 @@
         DATA_CENTRES[number % 3],
         process.address,
         "router",
-        peer_address=f"127.0.0.1:{process.peer_port}",
+        peer_address=process.peer_address,
     )
 
 
@@ -94,12 +99,22 @@
     return bool(models) and all(item["incarnation"] for item in models)
 
 
+@given('stand-ins of "{name}" and {count:d} router processes behind links')
+def step_start_linked(context, name, count):
+    start_all(context, name, count, True)
+
+
 @given('stand-ins of "{name}" and {count:d} router processes')
 def step_start(context, name, count):
+    start_all(context, name, count, False)
+
+
+def start_all(context, name: str, count: int, has_links: bool) -> None:
+    """Start stand-ins and processes, and wait until the processes know one another."""
     support.start_development(context, name, routers=0)
     context.processes = []
     for number in range(1, count + 1):
-        start(context, number)
+        start(context, number, has_links)
     streams_steps.wait_for(lambda: all(map(is_ready, context.processes)))
     streams_steps.wait_for(
         lambda: all(len(p.status()["members"]) == count for p in context.processes)
@@ -164,6 +179,45 @@
     assert standin_answer.is_whole_answer(text, 16), text
 
 
+@when("all links are cut")
+def step_cut(context):
+    for process in context.processes:
+        process.link.is_cut = True
+
+
+@when("all links work again")
+def step_mend(context):
+    for process in context.processes:
+        process.link.is_cut = False
+
+
+@then("every process holds all others for {state}")
+def step_all_states(context, state):
+    names = {f"vm-{number}" for number in range(1, len(context.processes) + 1)}
+
+    def is_so() -> bool:
+        return all(
+            state_of(process, name) == state
+            for number, process in enumerate(context.processes, 1)
+            for name in names - {f"vm-{number}"}
+        )
+
+    streams_steps.wait_for(is_so)
+
+
+@then("a chat through each process gives a whole answer")
+def step_chat_each(context):
+    for number in range(1, len(context.processes) + 1):
+        step_chat(context, number)
+
+
+@when("the platform goes down for good and process {number:d} is started anew")
+def step_start_anew(context, number):
+    context.deployment.platform.faults.is_down = True
+    context.processes.pop(number - 1).end()
+    start(context, number, True)
+
+
 @when('process {number:d} is paused until process {other:d} holds "{name}" for dead')
 def step_pause(context, number, other, name):
     context.processes[number - 1].popen.send_signal(signal.SIGSTOP)
