--- a/features/membership.feature
+++ b/features/membership.feature
@@ -64,6 +64,12 @@
       | 10    | 5            | a condemned fingerprint      | 6       |
       | 2     | 3            | notice that it is draining   | 4       |
 
+  Scenario: Many members of a data centre that die at once are known everywhere
+    Given 40 members in each of 5 data centres that know each other
+    When 24 members of data centre "dc0" die at once
+    And 20 seconds pass
+    Then every other member holds them for dead
+
   Scenario Outline: Messages between routers that cannot be read are refused with a typed error
     Then a router's message that is <form> is refused
 
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -292,3 +292,16 @@
 @then("the sum is at most 1 after 3 seconds")
 def step_sum_settled(context):
     assert context.sums[-1] <= 1.0 + 1e-9, context.sums
+
+
+@when('{count:d} members of data centre "{data_centre}" die at once')
+def step_die_at_once(context, count, data_centre):
+    context.dead = [f"{data_centre}-{number}" for number in range(count)]
+    for name in context.dead:
+        context.network.kill(name)
+
+
+@then("every other member holds them for dead")
+def step_all_dead(context):
+    states = {name: context.network.states(name) for name in context.dead}
+    assert all(found == {"dead"} for found in states.values()), states
