--- a/bronzemux/answers.py
+++ b/bronzemux/answers.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 import gevent
+import gevent.event
 import gevent.queue
 
 from bronzemux import claim as claim_rows
@@ -140,22 +141,30 @@
         """Run the request and return the body for WSGI."""
         if self.claim is None:
             return self._send(self._execute())
-        # The work goes on and is recorded even when the caller's connection is cut.
-        runner = gevent.spawn(self._execute_claimed)
-        result = runner.get()
+        # The work goes on and is recorded even when the caller's connection is cut or it is late.
+        reply = gevent.event.AsyncResult()
+        runner = gevent.spawn(self._execute_claimed, reply)
+        runner.link(reply)
+        result = reply.get()
         if isinstance(result, errors.RequestError):
             raise result
         return self._send(result)
 
-    def _execute(self) -> service_call.ServiceAnswer:
+    def _execute(self, *late) -> service_call.ServiceAnswer:
         settings = self.parts.settings
         limits = http_client.Timeouts(settings.connect_seconds, settings.progress_seconds)
-        return service_call.ServiceExecution(self.request, self.tools, limits).answer()
+        return service_call.ServiceExecution(self.request, self.tools, limits, *late).answer()
 
-    def _execute_claimed(self) -> service_call.ServiceAnswer | errors.RequestError:
+    def _execute_claimed(self, reply) -> service_call.ServiceAnswer | errors.RequestError:
+        """Run the request and record its end at the claim.
+
+        Args:
+          reply: Is told `unknown` when the answer is late; the claim stays started until then.
+        """
         with self.counted():
             try:
-                answer = self._execute()
+                late_seconds = self.parts.settings.late_answer_seconds
+                answer = self._execute(late_seconds, lambda: reply.set(_late()))
             except errors.RequestError as error:
                 self.settle_failure(error)
                 return error
@@ -177,6 +186,14 @@
         return self.call.answer_bytes(stored.status, stored.parts[0], headers, errors.Outcome.RAN)
 
 
+def _late() -> errors.OutcomeUnknownError:
+    return errors.OutcomeUnknownError(
+        "the service has not answered yet",
+        "repeat with the same Idempotency-Key, or ask with GET /v1/requests/KEY",
+        outcome=errors.Outcome.UNKNOWN,
+    )
+
+
 class ModelAnswer(Answer):
     """Answer of a model."""
 
--- a/bronzemux/cli_router.py
+++ b/bronzemux/cli_router.py
@@ -32,6 +32,9 @@
 flags.DEFINE_float("drain_seconds", 60.0, "Time for requests to end at a stop.", lower_bound=0.0)
 flags.DEFINE_float("connect_seconds", 0.5, "Time to connect to an endpoint.", lower_bound=0.01)
 flags.DEFINE_float("progress_seconds", 5.0, "Longest pause in an answer.", lower_bound=0.1)
+flags.DEFINE_float(
+    "late_answer_seconds", 30.0, "Wait for late answers to filings and orders.", lower_bound=0.0
+)
 flags.DEFINE_float("lease_seconds", 9.0, "Length of leases on orders.", lower_bound=3.0)
 flags.DEFINE_enum("log_level", "info", list(logs.LEVELS), "Least level that is logged.")
 for port_flag in ("port", "peer_port", "platform_port"):
@@ -81,6 +84,7 @@
         drain_seconds=FLAGS.drain_seconds,
         connect_seconds=FLAGS.connect_seconds,
         progress_seconds=FLAGS.progress_seconds,
+        late_answer_seconds=FLAGS.late_answer_seconds,
         lease_seconds=FLAGS.lease_seconds,
     )
 
--- a/bronzemux/development.py
+++ b/bronzemux/development.py
@@ -33,6 +33,7 @@
       token_seconds: Time of one generated token at the stand-in engines.
       speed: Factor on the prefill speed of the stand-in engines.
       progress_seconds: Longest pause in an answer of an endpoint.
+      late_answer_seconds: How long late answers to filings and orders are waited for.
       drain_seconds: Time for requests to end when a router stops.
     """
 
@@ -42,6 +43,7 @@
     token_seconds: float = 0.002
     speed: float = 1.0
     progress_seconds: float = 5.0
+    late_answer_seconds: float = 30.0
     drain_seconds: float = 10.0
 
 
@@ -121,6 +123,7 @@
                 port=port,
                 platform_port=self.platform.port,
                 progress_seconds=self.settings.progress_seconds,
+                late_answer_seconds=self.settings.late_answer_seconds,
                 drain_seconds=self.settings.drain_seconds,
                 peers=tuple(item.mesh.address for item in self.routers),
             ),
--- a/bronzemux/http_client.py
+++ b/bronzemux/http_client.py
@@ -120,6 +120,23 @@
         """
         self._guard(self.socket.sendall, encode_request(method, path, self.name, headers, body))
 
+    def has_answer(self, seconds: float) -> bool:
+        """Return whether something arrives, or the connection ends, within a time.
+
+        Args:
+          seconds: Longest wait; nothing is read.
+        """
+        self.socket.settimeout(seconds)
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+            return True
+        except TimeoutError:
+            return not is_quiet(self.socket)
+        except OSError:
+            return True
+        finally:
+            self.socket.settimeout(self.timeouts.progress)
+
     def receive(self, method: str):
         """Return the response once its headers arrived.
 
--- a/bronzemux/service_call.py
+++ b/bronzemux/service_call.py
@@ -1,6 +1,7 @@
 """Execution of a request for a plain service."""
 
 import dataclasses
+from collections.abc import Callable
 
 from bronzemux import engine_http, errors, forward, http_client, messages, requests
 
@@ -25,11 +26,22 @@
       request: The request.
       tools: What executing needs.
       timeouts: Limits of waiting.
+      late_seconds: How long an answer is waited for after the progress deadline, 0 for not.
+      on_late: Called when the progress deadline passes and the answer is waited for.
     """
 
-    def __init__(self, request: requests.ServiceRequest, tools, timeouts: http_client.Timeouts):
+    def __init__(
+        self,
+        request: requests.ServiceRequest,
+        tools,
+        timeouts: http_client.Timeouts,
+        late_seconds: float = 0.0,
+        on_late: Callable[[], None] = lambda: None,
+    ):
         super().__init__(request, tools)
         self.timeouts = timeouts
+        self.late_seconds = late_seconds
+        self.on_late = on_late
 
     def answer(self) -> ServiceAnswer:
         """Return the answer.
@@ -67,7 +79,7 @@
             self.may_have_run = True
             request = self.request
             connection.send(request.method, request.path, self._headers(), request.body)
-            response = connection.receive(request.method)
+            response = self._receive(connection)
             body = connection.read_all()
         finally:
             connection.close()
@@ -80,6 +92,13 @@
         headers = [(name, response.get(name)) for name in PASSED_HEADERS if response.get(name)]
         return ServiceAnswer(response.status_code, tuple(headers), body)
 
+    def _receive(self, connection: http_client.Connection):
+        """Return the response; a late one counts, though its caller was told `unknown`."""
+        if self.late_seconds and not connection.has_answer(self.timeouts.progress):
+            self.on_late()
+            connection.has_answer(self.late_seconds)
+        return connection.receive(self.request.method)
+
     def _check_request(self, name: str, response) -> None:
         """Drop an answer that names another request; services that name none are trusted."""
         answered = response.get(engine_http.HEADER_REQUEST)
--- a/bronzemux/settings.py
+++ b/bronzemux/settings.py
@@ -35,6 +35,8 @@
       drain_seconds: Time for requests to end after a stop signal.
       connect_seconds: Time to connect to an endpoint.
       progress_seconds: Longest pause in an answer of an endpoint.
+      late_answer_seconds: How long the answer of a plain service to a request that may not be
+        repeated is waited for after the progress deadline.
       lease_seconds: Length of leases on orders to engines.
     """
 
@@ -53,6 +55,7 @@
     drain_seconds: float = 60.0
     connect_seconds: float = 0.5
     progress_seconds: float = 5.0
+    late_answer_seconds: float = 30.0
     lease_seconds: float = 9.0
 
 
--- a/bronzemux/standin_service.py
+++ b/bronzemux/standin_service.py
@@ -37,6 +37,7 @@
         self.work_seconds = work_seconds
         self.filings: list[Filing] = []
         self.late_seconds = LATE_SECONDS
+        self.started = 0
         self.next_modes: list[str] = []
         self.is_up = False
 
@@ -71,6 +72,7 @@
         if environ["REQUEST_METHOD"] == "GET":
             found = {"filings": len(self.filings), "path": environ["PATH_INFO"]}
             return json.dumps(found).encode()
+        self.started += 1
         self.clock.sleep(self.work_seconds)
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
         filing = Filing(key, content, len(self.filings) + 1)
--- a/features/claims.feature
+++ b/features/claims.feature
@@ -30,6 +30,26 @@
       | answer late             | 502    | unknown | 1   | 502           | unknown        | 1          |
       | answer another request  | 502    | unknown | 1   | 502           | unknown        | 1          |
 
+  Scenario Outline: A late answer to a filing is recorded though its caller was told unknown
+    Given routers wait <wait> seconds for late answers
+    And case services will <fault>
+    When team "caseworkers" files with key "k1"
+    Then the status is 502
+    And the outcome is "unknown"
+    Given case services work again
+    When team "caseworkers" files with key "k1"
+    Then the status is 409 and the error is "request_in_progress"
+    When 4 seconds go by
+    And team "caseworkers" files with key "k1"
+    Then the status is <status>
+    And the outcome is "<outcome>"
+    And the filings that ran number 1
+
+    Examples:
+      | wait | fault                   | status | outcome |
+      | 3    | answer late             | 200    | ran     |
+      | 3    | go silent after running | 502    | unknown |
+
   Scenario Outline: An idempotent lookup goes to another service at every point of failure
     Given the first case service that is asked will <fault>
     When team "caseworkers" looks up a status
--- a/features/fault_run.py
+++ b/features/fault_run.py
@@ -391,6 +391,7 @@
         token_seconds=0.002,
         speed=20.0,
         progress_seconds=0.5,
+        late_answer_seconds=2.0,
     )
     deployment = development.Development(settings, clock.SystemClock())
     deployment.start()
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -136,17 +136,11 @@
     """Let the platform go down when the first filing has begun."""
     for service in services(context):
         service.work_seconds = 0.2
-    while not context.deployment.platform.table.rows.keys() - {"config/head"} - history(context):
+    while not any(service.started for service in services(context)):
         gevent.sleep(0.001)
     context.deployment.platform.faults.is_down = True
 
 
-def history(context) -> set[str]:
-    """Return the row keys of the configuration history."""
-    rows = context.deployment.platform.table.rows
-    return {key for key in rows if key.startswith("config/")}
-
-
 @given("the platform works again")
 def step_platform_well(context):
     context.deployment.platform.faults.is_down = False
@@ -233,3 +227,14 @@
     third = file_request(context, "caseworkers", key, 1)
     first.get()
     assert third.status in (200, 409), third
+
+
+@given("routers wait {seconds:g} seconds for late answers")
+def step_late(context, seconds):
+    for item in context.deployment.routers:
+        object.__setattr__(item.settings, "late_answer_seconds", seconds)
+
+
+@when("{seconds:d} seconds go by")
+def step_pass(context, seconds):
+    gevent.sleep(seconds)
--- a/features/support.py
+++ b/features/support.py
@@ -24,6 +24,7 @@
         token_seconds=options.pop("token_seconds", 0.001),
         speed=options.pop("speed", 20.0),
         progress_seconds=options.pop("progress_seconds", 0.5),
+        late_answer_seconds=options.pop("late_answer_seconds", 0.0),
         **options,
     )
     deployment = development.Development(settings, clock.SystemClock())
