Measure decisions with imports, and bound the knowledge of the KV cache store

Change: the slope of a decision includes the offer of the store; a slope of its memory; 5,000 prefixes instead of 20,000, about 12 MB when full.

--- a/bronzemux/cache_store.py
+++ b/bronzemux/cache_store.py
@@ -6,7 +6,7 @@
 from bronzemux import config, limits
 
 MAX_KEYS = 100_000
-MAX_PREFIXES = 20_000
+MAX_PREFIXES = 5_000
 EXPORT_RETRY_SECONDS = 5.0
 
 
--- a/bronzemux/slopes.py
+++ b/bronzemux/slopes.py
@@ -12,6 +12,7 @@
 
 from bronzemux import (
     admission,
+    cache_store,
     claims,
     committer,
     config,
@@ -40,6 +41,7 @@
 CHAIN_PIECES = 40
 PIECE_TOKENS = 1024
 DECISIONS = 300
+STORE_TOKENS_PER_SECOND = 1e12
 SETTLE_SECONDS = 90.0
 OBSERVED_SECONDS = 30.0
 REGIONAL_MEMBERS = ((2, 1), (8, 3), (90, 15), (270, 15), (810, 15))
@@ -80,6 +82,7 @@
         decision_time(),
         view_time(),
         index_memory(),
+        store_memory(),
         event_time(),
         queue_time(),
         limit_memory(),
@@ -171,17 +174,41 @@
         view = state.view(0.0, 1, {})
         allowed = state.allowed("model", "", frozenset())
         policy = policies.ReuseAndLoad()
+        store = store_of(all_chains)
         turn = iter(all_chains * 3)
 
-        def decide(state=view, known=known, allowed=allowed, policy=policy, turn=turn):
+        def decide(state=view, known=known, allowed=allowed, policy=policy, turn=turn, store=store):
             chain = next(turn)
-            demand = routing.Demand(chain, CHAIN_PIECES * PIECE_TOKENS, PIECE_TOKENS, allowed)
+            stored = store.offer(chain, PIECE_TOKENS, 1, 0.0)
+            tokens = CHAIN_PIECES * PIECE_TOKENS
+            demand = routing.Demand(chain, tokens, PIECE_TOKENS, allowed, stored)
             return policy.choose(state, demand, known.overlaps(chain), routing.Weights())
 
         points.append((count, each_time(decide, DECISIONS)))
     return Slope("routing", "one decision", "us", "endpoints", tuple(points))
 
 
+def store_of(all_chains: Sequence[tuple[int, ...]]) -> cache_store.CacheStore:
+    """Return knowledge of a KV cache store to which one engine exported all prompts."""
+    store = cache_store.CacheStore()
+    store.apply(config.CacheStore("kv-cache", STORE_TOKENS_PER_SECOND, 1))
+    for chain in all_chains:
+        store.observe(chain)
+        store.learn(chain, "worker-0/0")
+    return store
+
+
+def store_memory() -> Slope:
+    """Measure the memory of the knowledge of the KV cache store."""
+    points = []
+    for count in (100, 1_000, 2_000):
+        all_chains = chains(count)
+        points.append((count, memory_of(lambda c=all_chains: store_of(c))))
+    return Slope(
+        "KV cache store", "memory", "bytes", f"prompts of {CHAIN_PIECES} pieces", tuple(points)
+    )
+
+
 def view_time() -> Slope:
     """Measure the view of the fleet that a decision needs."""
     points = []
