Test a platform whose connections go silent, and a second signal to a router

Change: standin_server.Server lets open connections of a stand-in go silent (engine and platform); a filing then still ends as ran, over a new connection; a second SIGTERM ends a router at once with status 1 and names what was left.

--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -20,6 +20,7 @@
     standin_answer,
     standin_cache,
     standin_loading,
+    standin_server,
 )
 
 DEFAULT_MAX_TOKENS = 16
@@ -162,12 +163,11 @@
         self.running = 0
         self.waiting = 0
         self.greenlets: set[gevent.Greenlet] = set()
-        self.muted: set = set()
 
     def start(self) -> None:
         """Listen; the port stays the same over restarts."""
         listener = (self.settings.host, self.port)
-        self.server = http_server.Server(listener, self.application)
+        self.server = standin_server.Server(listener, self.application)
         self.server.start()
         self.port = self.server.server_port
         self.is_up = True
@@ -188,7 +188,7 @@
 
     def mute_open_connections(self) -> None:
         """Let the connections that are open go silent for good; new ones work."""
-        self.muted.update(self.server.open_sockets)
+        self.server.mute_open_connections()
 
     # Interface
 
@@ -374,10 +374,9 @@
         return other
 
     def _events(self, environ, work: standin_answer.Work, offset: int) -> Iterator[bytes]:
-        peer = (environ["REMOTE_ADDR"], int(environ["REMOTE_PORT"]))
         for number, chunk in enumerate(work.read(offset), offset):
             self._fail_after(number)
-            if self._is_muted(peer):
+            if self.server.is_muted(environ):
                 event.Event().wait()
             yield from self._disturb(number, chunk)
 
@@ -399,9 +398,6 @@
             self.faults.doubled_parts -= 1
             yield chunk
 
-    def _is_muted(self, peer) -> bool:
-        return any(_peer_name(sock) == peer for sock in self.muted)
-
     def _request(self, environ, start_response):
         request_id = environ["PATH_INFO"].removeprefix("/requests/")
         work = self.works.get(request_id)
@@ -448,10 +444,3 @@
 
 def _query(environ) -> dict[str, str]:
     return dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
-
-
-def _peer_name(sock):
-    try:
-        return sock.getpeername()[:2]
-    except OSError:
-        return None
--- a/bronzemux/standin_platform.py
+++ b/bronzemux/standin_platform.py
@@ -4,9 +4,10 @@
 import urllib.parse
 
 import cbor2
+from gevent import event
 
 from bronzemux import clock as clocks
-from bronzemux import errors, http_server, objects, table, vms
+from bronzemux import errors, http_server, objects, standin_server, table, vms
 
 
 @dataclasses.dataclass
@@ -42,10 +43,14 @@
 
     def start(self) -> None:
         """Listen."""
-        self.server = http_server.Server(("127.0.0.1", self.port), self.application)
+        self.server = standin_server.Server(("127.0.0.1", self.port), self.application)
         self.server.start()
         self.port = self.server.server_port
 
+    def mute_open_connections(self) -> None:
+        """Let the connections that are open go silent for good; new ones work."""
+        self.server.mute_open_connections()
+
     def stop(self) -> None:
         """Cut all connections and stop listening."""
         self.server.abort()
@@ -53,6 +58,8 @@
     def application(self, environ, start_response):
         """Serve one request (WSGI)."""
         body = environ["wsgi.input"].read()
+        if self.server.is_muted(environ):
+            event.Event().wait()
         if self.faults.delay_seconds:
             self.clock.sleep(self.faults.delay_seconds)
         if self.faults.is_down:
--- a/features/claims.feature
+++ b/features/claims.feature
@@ -83,6 +83,7 @@
     Examples:
       | fault                             | status | outcome | ran |
       | be down                           | 503    | not-run | 0   |
+      | let open connections go silent    | 200    | ran     | 1   |
       | lose the answer of 1 write        | 200    | ran     | 1   |
       | lose the answer of 2 writes       | 200    | ran     | 1   |
       | lose the answers of all writes    | 503    | not-run | 0   |
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -39,6 +39,14 @@
     Then process 1 exits with 1
     And its log says "left_requests=1"
 
+  Scenario: A second signal ends at once and names what is left
+    Given stand-ins of "centre" and 2 router processes
+    And engines take 0.2 seconds a word
+    When a stream of 200 words runs through process 1 and it gets SIGTERM twice
+    Then process 1 exits with 1
+    And its log says "router_cut"
+    And its log says "left_requests=1"
+
   Scenario: A router started while the platform is down is configured by its peers
     Given stand-ins of "centre" and 2 router processes
     When the platform goes down for good and a third process starts
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -124,6 +124,8 @@
     faults = context.deployment.platform.faults
     if fault == "be down":
         faults.is_down = True
+    elif fault == "let open connections go silent":
+        context.deployment.platform.mute_open_connections()
     elif fault == "lose the answers of all writes":
         faults.lost_answers = 1000
     elif fault.startswith("lose"):
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -17,6 +17,7 @@
 
 DATA_CENTRES = ("tbilisi-1", "tbilisi-2", "tbilisi-3")
 EXIT_SECONDS = 30.0
+SIGNAL_SECONDS = 0.5
 
 
 def free_port() -> int:
@@ -261,6 +262,19 @@
     context.stream = reader.get()
 
 
+@when("a stream of {count:d} words runs through process {number:d} and it gets SIGTERM twice")
+def step_terminate_twice(context, count, number):
+    process = context.processes[number - 1]
+    reader = gevent.spawn(
+        read_stream, process.address, context.deployment.key("caseworkers"), count
+    )
+    streams_steps.wait_for(lambda: process.status().get("in_flight") == 1)
+    process.popen.send_signal(signal.SIGTERM)
+    gevent.sleep(SIGNAL_SECONDS)
+    process.popen.send_signal(signal.SIGTERM)
+    reader.get()
+
+
 @then("the stream was whole")
 def step_whole(context):
     assert standin_answer.is_whole_answer(context.stream, context.count), context.stream
