Draw herds of routers, racing operators, and late, crossed and cut answers in fault runs

Change: service late, crossed and cut in answer, platform silence, router herd and configuration race are drawn too; 21 kinds.

--- a/features/fault_run.py
+++ b/features/fault_run.py
@@ -16,9 +16,12 @@
 
 from bronzemux import (
     clock,
+    config_edit,
+    config_store,
     development,
     errors,
     http_client,
+    porcelain,
     standin_answer,
     standin_engine,
     standin_platform,
@@ -47,11 +50,17 @@
     "service crash after",
     "service refuses",
     "service silent",
+    "service late",
+    "service crossed",
+    "service cut in answer",
     "platform down",
+    "platform silence",
     "platform slow",
     "platform answers lost",
     "router crash",
+    "router herd",
     "configuration change",
+    "configuration race",
 )
 
 
@@ -320,6 +329,9 @@
             "crash after": "crash_after",
             "refuses": "refuse",
             "silent": "silent_after",
+            "late": "late",
+            "crossed": "crossed",
+            "cut in answer": "cut_in_answer",
         }
         service = self.random.choice(list(self.deployment.services.values()))
         service.next_modes = [modes[what]] * 2
@@ -329,6 +341,9 @@
         if what == "answers lost":
             faults.lost_answers = 3
             return
+        if what == "silence":
+            self.deployment.platform.mute_open_connections()
+            return
         if what == "down":
             faults.is_down = True
         else:
@@ -338,18 +353,26 @@
         faults.delay_seconds = 0.0
 
     def _router_fault(self, what: str) -> None:
-        position = self.random.randrange(len(self.deployment.routers))
-        if self.deployment.routers[position].server.started:
+        count = len(self.deployment.routers)
+        positions = range(count) if what == "herd" else [self.random.randrange(count)]
+        lost = [n for n in positions if self.deployment.routers[n].server.started]
+        for position in lost:
             self.deployment.crash_router(position)
-            gevent.sleep(QUIET_SECONDS)
+        gevent.sleep(QUIET_SECONDS)
+        for position in lost:
             self.deployment.start_router(position)
 
     def _configuration_fault(self, what: str) -> None:
-        from bronzemux import config_edit, config_store, porcelain
+        operators = 2 if what == "race" else 1
+        gevent.joinall([gevent.spawn(self._use_preset) for _ in range(operators)])
 
+    def _use_preset(self) -> None:
         preset = self.random.choice(("ordinary", "peak", "maintenance"))
         store = config_store.ConfigStore(self.deployment.platform.table, clock.SystemClock())
-        porcelain.edit_config(store, config_edit.use_preset(preset), "run", preset)
+        try:
+            porcelain.edit_config(store, config_edit.use_preset(preset), "run", preset)
+        except errors.ConfigConflictError:
+            self.counts["configuration conflicts"] += 1
 
     def _heal(self) -> None:
         gevent.sleep(2 * QUIET_SECONDS)
