Refuse a malformed configuration head of a peer with a typed error

Cause: the new fuzzing of config_store.decode: an empty head raised EOFError of the CBOR library, which the mesh task did not catch, so that a peer's message could restart it. Change: decode checks the fields and raises HeadError; the decoder is fuzzed with the others.

--- a/bronzemux/config_store.py
+++ b/bronzemux/config_store.py
@@ -74,8 +74,26 @@
 
 
 def decode(content: bytes) -> Head:
-    """Return the head that a row or message holds."""
-    return Head(*cbor2.loads(content))
+    """Return the head that a row or message holds.
+
+    Raises:
+      errors.HeadError: When it has another form.
+    """
+    try:
+        version, *texts = cbor2.loads(content)
+        if type(version) is not int or any(type(text) is not str for text in texts):
+            raise TypeError("a field has another type")
+        return Head(version, *texts)
+    except (ValueError, TypeError, EOFError, OverflowError, RecursionError) as error:
+        raise _malformed(error) from error
+    except cbor2.CBORDecodeError as error:
+        raise _malformed(error) from error
+
+
+def _malformed(error: Exception) -> errors.HeadError:
+    return errors.HeadError(
+        f"the configuration head has another form: {error!r:.80}", "check the version of its writer"
+    )
 
 
 class ConfigAccess:
--- a/bronzemux/errors.py
+++ b/bronzemux/errors.py
@@ -81,6 +81,10 @@
         self.keys = keys
 
 
+class HeadError(BronzemuxError):
+    """Bytes are not an encoded configuration head."""
+
+
 class ConfigConflictError(BronzemuxError):
     """Another operator changed the configuration first."""
 
--- a/bronzemux/mesh.py
+++ b/bronzemux/mesh.py
@@ -226,8 +226,8 @@
     def _offer(self, content: bytes) -> None:
         try:
             self.offer(config_store.decode(content))
-        except (ValueError, TypeError) as error:
-            logs.event("config_refused", "warning", cause=repr(error))
+        except errors.HeadError as error:
+            logs.event("config_refused", "warning", cause=error.message)
 
     @handle.register
     def _publish(self, message: Publish) -> None:
--- a/features/fuzz.py
+++ b/features/fuzz.py
@@ -7,6 +7,7 @@
 import json
 from collections.abc import Callable
 
+import cbor2
 import hypothesis
 from absl import app, flags
 from hypothesis import stateful
@@ -15,6 +16,7 @@
 from bronzemux import (
     completion,
     config,
+    config_store,
     engine_http,
     errors,
     requests,
@@ -67,6 +69,11 @@
         (DOCUMENT | CHOICES).map(lambda value: json.dumps({"choices": value}).encode()),
         errors.EndpointProtocolError,
     ),
+    "the configuration head": Decoder(
+        config_store.decode,
+        st.binary(max_size=100) | DOCUMENT.map(cbor2.dumps),
+        errors.HeadError,
+    ),
     "the wire decoder": Decoder(wire.decode, st.binary(max_size=200), wire.WireError),
     "the event decoder": Decoder(
         engine_http.decode_event,
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -39,6 +39,7 @@
       | the sealed frame       | SignatureError        |
       | the answer part        | EndpointProtocolError |
       | the text of a part     | EndpointProtocolError |
+      | the configuration head | HeadError             |
       | the event decoder      | EndpointProtocolError |
       | the state decoder      | EndpointProtocolError |
       | the configuration      | ConfigError           |
