Forget a dead engine's exports once, and test that the store's copy is not imported

Cause, from reading the change again: forgetting an engine's exports scanned all keys at each poll of an engine that is down; the check that no dead engine's pieces are imported could pass without any import being tried; a TimeoutError of the application before the headers would have been logged as a silent caller. Change: a second forget returns at once; a new scenario crashes the exporter while only the store holds the prefix; caller_silent is logged only once headers were sent.

--- a/bronzemux/cache_store.py
+++ b/bronzemux/cache_store.py
@@ -161,7 +161,9 @@
             self.exporters.popitem(last=False)
 
     def forget(self, incarnation: str) -> None:
-        """Drop what an engine that died had exported."""
+        """Drop what an engine that died had exported; repeats, as at each poll, cost nothing."""
+        if incarnation in self.dead:
+            return
         self.dead[incarnation] = None
         if len(self.dead) > MAX_PREFIXES:
             self.dead.popitem(last=False)
--- a/bronzemux/http_server.py
+++ b/bronzemux/http_server.py
@@ -65,7 +65,7 @@
 
     def handle_error(self, kind, error, traceback):
         """Log a caller that stopped reading in one line, and close; leave other errors as they are."""
-        if isinstance(error, TimeoutError):
+        if isinstance(error, TimeoutError) and self.headers_sent:
             logs.event("caller_silent", "warning", seconds=self.server.deadlines.write)
             self.close_connection = True
         else:
--- a/features/cache_store.feature
+++ b/features/cache_store.feature
@@ -58,6 +58,13 @@
     Then the next prompt with this document is answered with cached tokens
     And no engine imported from an engine that was dead
 
+  Scenario: What an engine exported is not imported once it is dead, though the store still holds it
+    Given a development deployment whose engines compute slower than they import
+    When prompts with one document are answered until the document is exported
+    And the engine that exported it crashes
+    Then the next prompt with this document is answered without cached tokens
+    And no engine imported from an engine that was dead
+
   Scenario: A store that lost the pieces only costs their computation
     Given a development deployment whose engines compute slower than they import
     When prompts with one document are answered until the document is exported
