Give test processes ports that no connection takes, and keep the limit of a wait

Cause: features run in parallel in a fresh clone: a router process could not listen, because its port, free when it was chosen, had been given to a connection; and the wait for it did not end after 30 s, since the HTTP client that the condition calls took the timeout for its own. Change: ports from 20,000 to 32,000, below the system's range; wait_for compares the clock. Measured: processes.feature, 8 scenarios pass with the new wait (85 s); 3 of them again with the new ports.

--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -1,5 +1,6 @@
 """Steps of processes.feature."""
 
+import itertools
 import json
 import os
 import signal
@@ -17,13 +18,19 @@
 
 DATA_CENTRES = ("tbilisi-1", "tbilisi-2", "tbilisi-3")
 EXIT_SECONDS = 30.0
+PORTS = itertools.chain(range(20_000 + os.getpid() % 10_000, 32_000), range(20_000, 32_000))
 SIGNAL_SECONDS = 0.5
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
+    """Return a port that is free, below those that the system gives to connections."""
+    for port in PORTS:
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+            return port
+        except OSError:
+            continue
+    raise AssertionError("no free port")
 
 
 class Process:
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -3,6 +3,7 @@
 import gevent
 from behave import given, then, when
 
+from bronzemux import clock as clocks
 from bronzemux import engine_http, http_client, standin_answer, standin_engine
 from features import support
 from features.steps import callers_steps
@@ -97,10 +98,13 @@
 
 
 def wait_for(condition, seconds: float = 30.0) -> None:
-    """Wait until a condition holds."""
-    with gevent.Timeout(seconds, TimeoutError(f"not reached within {seconds:g} s")):
-        while not condition():
-            gevent.sleep(0.01)
+    """Wait until a condition holds; what a condition itself does has limits of its own."""
+    clock = clocks.SystemClock()
+    limit = clock.monotonic() + seconds
+    while not condition():
+        if clock.monotonic() > limit:
+            raise TimeoutError(f"not reached within {seconds:g} s")
+        gevent.sleep(0.01)
 
 
 @when('a caller of team "{team}" reads {count:d} parts through router {number:d}')
