--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -23,6 +23,23 @@
 PEER_LOAD_SECONDS = 1.5
 
 
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """Whose requests a load sums up.
+
+    Attributes:
+      name: Name of a router or of a data centre.
+      is_remote: Whether it is another data centre.
+    """
+
+    name: str
+    is_remote: bool = False
+
+
+# All routers together, this one included.
+TOTAL = Source("")
+
+
 @dataclasses.dataclass
 class Loading:
     """Weights that an endpoint was ordered to load.
@@ -52,7 +69,8 @@
       suspensions: Failed connections in series.
       weights: Newest known version by model.
       loading: Orders under way by model.
-      peer_loads: Requests, tokens and time of the report by router.
+      peer_loads: Requests, tokens and time of the report by source.
+      reported: Requests and tokens that this gateway last told its relays.
     """
 
     endpoint: model.Endpoint
@@ -66,7 +84,8 @@
     suspensions: int = 0
     weights: dict[str, int] = dataclasses.field(default_factory=dict)
     loading: dict[str, Loading] = dataclasses.field(default_factory=dict)
-    peer_loads: dict[str, tuple[int, float, float]] = dataclasses.field(default_factory=dict)
+    peer_loads: dict[Source, tuple[int, float, float]] = dataclasses.field(default_factory=dict)
+    reported: tuple[int, float] = (0, 0.0)
     is_gone: bool = False
 
     def update(self, endpoint: model.Endpoint) -> None:
@@ -92,8 +111,22 @@
 
     def load(self, now: float) -> tuple[int, float]:
         """Return requests and prompt tokens of all gateways there."""
+        total = self.peer_loads.get(TOTAL)
+        if total is not None and now - total[2] < PEER_LOAD_SECONDS:
+            requests, tokens = self.reported
+            count = self.in_flight + max(0, total[0] - requests)
+            return count, self.backlog_tokens + max(0.0, total[1] - tokens)
+        return self._sum(now, has_remote=True)
+
+    def near_load(self, now: float) -> tuple[int, float]:
+        """Return requests and prompt tokens of the gateways of this data centre there."""
+        return self._sum(now, has_remote=False)
+
+    def _sum(self, now: float, has_remote: bool) -> tuple[int, float]:
         count, tokens = self.in_flight, self.backlog_tokens
-        for requests, backlog, at in self.peer_loads.values():
+        for source, (requests, backlog, at) in self.peer_loads.items():
+            if source is TOTAL or (source.is_remote and not has_remote):
+                continue
             if now - at < PEER_LOAD_SECONDS:
                 count += requests
                 tokens += backlog
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -37,6 +37,13 @@
 CRASH_SECONDS = 2.0
 # Answers on replaced weights keep their whole worth for this long after newer ones were named.
 FRESH_SECONDS = 1.5
+# A router that has just started lets requests wait for its first reading of the store, up to this
+# part of the caller's time and this many seconds; the rest is enough to serve them, or to ask
+# another router.
+START_SHARE = 0.35
+START_WAIT_SECONDS = 1.0
+# Name under which requests wait for the start, beside the names of services.
+STARTING = "(start)"
 # Older than this, the configuration may lack routes and keys that are in force elsewhere.
 STALE_FACTOR = 2.0
 
@@ -78,6 +85,7 @@
         Raises:
           failures.RefusedError: When it is refused.
         """
+        self._await_start(request, arrived_at)
         config = self.parts.knowledge.configuration
         if config is None:
             raise failures.RefusedError(
@@ -112,6 +120,17 @@
         self.parts.budget.request(job.service, arrived_at)
         return job
 
+    def _await_start(self, request: model.Request, arrived_at: float) -> None:
+        known = self.parts.knowledge
+        limit = START_WAIT_SECONDS
+        if request.deadline_seconds is not None:
+            limit = min(limit, START_SHARE * request.deadline_seconds)
+        while not known.is_complete():
+            left = arrived_at + limit - self.clock.monotonic()
+            if left <= 0:
+                return
+            self.parts.room.wait(STARTING, 0, arrived_at, left)
+
     def _unknown(self, status: int, message: str) -> failures.RefusedError:
         age = self.parts.knowledge.age()
         bound = self.parts.settings.bounds.configuration_seconds
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -38,6 +38,10 @@
 HOUSEKEEPING_SECONDS = 0.5
 # Routers that nobody can name by gossip are looked up again in the store this often.
 LOOKUP_SECONDS = 20.0
+# How often a router looks whether it has to register or to look others up.
+REGISTRATION_SECONDS = 0.5
+# A failed registration is repeated after this time.
+REGISTRATION_RETRY_SECONDS = 1.0
 # Endpoint lifetimes lost at which a request is held to crash them: the third is the last that
 # the deployment allows.
 DEATHS_TO_QUARANTINE = 3
@@ -94,30 +98,42 @@
     """Writes this router into the store and reads the others from it."""
 
     def __init__(self, gateway: "Gateway"):
-        super().__init__("registration", gateway.clock, LOOKUP_SECONDS)
+        super().__init__("registration", gateway.clock, REGISTRATION_SECONDS)
         self.gateway = gateway
         self.is_written = False
+        self.next_lookup = 0.0
+        self.not_before = 0.0
 
     def tick(self) -> None:
-        """Register until it has succeeded; look the others up."""
+        """Register, and look the others up.
+
+        While routers are many, only relays do: they are found first, and name the rest.
+        """
+        now = self.clock.monotonic()
+        if now < self.not_before or not self.gateway.peering.must_follow_store():
+            return
         try:
             if not self.is_written:
                 self._write()
-            self._read()
+            if now >= self.next_lookup:
+                self._read()
+                self.next_lookup = now + LOOKUP_SECONDS
         except errors.PlatformError as error:
             logs.event("registration_failed", "warning", cause=str(error))
-            self.next_tick = self.clock.monotonic() + 1.0
+            self.not_before = now + REGISTRATION_RETRY_SECONDS
 
     def _write(self) -> None:
+        """Write the own row, in one call when there is none yet."""
         own = self.gateway.routers.own
         key = ROUTER_PREFIX + own.name
-        known = self.gateway.platform.table.read([key])[0]
         value = gossip.encode_router(own)
-        if known is not None and known.value == value:
-            self.is_written = True
-            return
-        expected = known.version if known is not None else table.ABSENT
-        self.gateway.platform.table.transact([table.Write(key, expected, value)])
+        service = self.gateway.platform.table
+        try:
+            service.transact([table.Write(key, table.ABSENT, value)])
+        except errors.WriteConflictError:
+            known = service.read([key])[0]
+            if known is not None and known.value != value:
+                service.transact([table.Write(key, known.version, value)])
         self.is_written = True
 
     def _read(self) -> None:
@@ -129,10 +145,8 @@
             except gossip.GossipError as error:
                 logs.event("router_row_rejected", "warning", key=row.key, cause=str(error))
                 continue
-            if router.name not in self.gateway.routers.known:
-                # Not heard yet: a reason to connect, not to send callers there.
-                router = dataclasses.replace(router, is_ready=False)
-                self.gateway.routers.hear(router, now)
+            # A reason to connect, not to send callers there.
+            self.gateway.routers.learn(dataclasses.replace(router, is_ready=False), now)
 
 
 class Gateway:
@@ -186,8 +200,15 @@
         self.supervisor = supervisor.Supervisor("gateway", clock)
         self.pages: list[http_server.Server] = []
         self.registration = Registration(self)
+        self.peering = peering.Peering(config, self.forwarder, self.board, self.routers)
         self.weights = weights.Weights(
-            config, self.knowledge, self.board, self._lease(boot), platform.calls, self.meters
+            config,
+            self.knowledge,
+            self.board,
+            self._lease(boot),
+            platform.calls,
+            self.meters,
+            self.peering.is_alone_or_relay,
         )
 
     def _lease(self, boot: int) -> lease.Lease:
@@ -210,14 +231,13 @@
         self.ingress.start()
         for name, source in self.platform.feeds.items():
             self.supervisor.add(self._feed(name, source))
-        peers = peering.Peering(self.settings, self.forwarder, self.board, self.routers)
-        self.supervisor.add(peers)
+        self.supervisor.add(self.peering)
         self.supervisor.add(
             cache_watch.CacheWatch(
                 self.platform.caches,
                 self.parts.index,
                 self._cache_store,
-                peers.is_cache_watcher,
+                self.peering.is_cache_watcher,
                 self.clock,
             )
         )
@@ -246,7 +266,15 @@
         def on_contact(contact: feed.Contact) -> None:
             self.knowledge.contact(contact.table, contact.is_up)
 
-        return feed.Feed(name, source, self.clock, lambda: replica.version, on_batch, on_contact)
+        return feed.Feed(
+            name,
+            source,
+            self.clock,
+            lambda: replica.version,
+            on_batch,
+            on_contact,
+            self.peering.must_follow_store,
+        )
 
     def _start_pages(self) -> None:
         pages = directory.Pages(
@@ -269,7 +297,7 @@
 
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
-        return not self.is_stopping and self.knowledge.configuration is not None
+        return not self.is_stopping and self.knowledge.is_complete()
 
     def check_ready(self) -> None:
         """Tell the others when this router begins or ends to take callers."""
@@ -353,6 +381,8 @@
         return learned and now - self.ingress.last_request_at > QUIET_SECONDS
 
     def _unregister(self) -> None:
+        if not self.registration.is_written:
+            return
         try:
             key = ROUTER_PREFIX + self.settings.name
             known = self.platform.table.read([key])[0]
--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -24,7 +24,7 @@
       data_centre: Its data centre.
       is_ready: Whether it takes new callers.
       processor: Its processor in cores of ordinary speed.
-      beat: Number of its status message; what others pass on of it is news only if this rose.
+      beat: Number of its status message; a message with a lower one was overtaken.
     """
 
     name: str
@@ -39,11 +39,47 @@
 
 @dataclasses.dataclass(frozen=True)
 class Load:
-    """Requests and prompt tokens of the sender at one endpoint."""
+    """Requests and prompt tokens at one endpoint.
+
+    Attributes:
+      endpoint: Identity of the endpoint.
+      requests: Requests that run or wait there.
+      tokens: Prompt tokens that are still to be read.
+    """
 
     endpoint: str
     requests: int
-    tokens: float
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PrefixNews:
+    """A prefix that is in a cache, or is being read.
+
+    Attributes:
+      key: Key of the prefix.
+      tokens: Tokens of its last part.
+      holder: Lifetime of an endpoint, or address of a cache store.
+      milliseconds: Time until the holder has it, not positive when it has.
+    """
+
+    key: bytes
+    tokens: int
+    holder: str
+    milliseconds: int
+
+
+@dataclasses.dataclass(frozen=True)
+class DeathNews:
+    """An endpoint that went down.
+
+    Attributes:
+      lifetime: Its lifetime.
+      fingerprints: Requests that were lost there.
+    """
+
+    lifetime: str
+    fingerprints: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,32 +103,64 @@
 class Status:
     """Periodic message.
 
+    A relay sums up and passes on what others told it; what it tells to whom is the matter of
+    `relaying`.
+
     Attributes:
       router: The sender.
+      scope: Value of `relaying.Scope`: whose requests the loads sum up.
       versions: Newest change that the sender knows, by table.
-      routers: Others that the sender hears.
-      loads: Where the sender's requests are.
-      weights: What the sender found out about weights.
-      prefixes: Key, tokens, holder and seconds until it has them, of cached prefixes that the
-        sender found out.
-      deaths: Lifetime and fingerprints of requests that were lost there.
+      is_following: Whether the sender follows the store and gets answers from it.
+      roster: Checksum of the list of routers that the receiver may ask for, 0 for none.
+      loads: Where requests are.
+      weights: What was found out about weights.
+      prefixes: What was found out about caches.
+      deaths: Endpoints that went down.
       lease: Version of the lease's row when the sender holds it, 0 otherwise.
-      targets: Model, version and seconds for which the operator has named it.
-      stores: Address and epoch of cache stores that the sender watches.
+      targets: Model, version and milliseconds for which the operator has named it.
+      stores: Address and epoch of cache stores.
     """
 
     router: Router
+    scope: str
     versions: dict[str, int]
-    routers: tuple[Router, ...] = ()
+    is_following: bool = False
+    roster: int = 0
     loads: tuple[Load, ...] = ()
     weights: tuple[WeightsNews, ...] = ()
-    prefixes: tuple[tuple[bytes, int, str, float], ...] = ()
-    deaths: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    prefixes: tuple[PrefixNews, ...] = ()
+    deaths: tuple[DeathNews, ...] = ()
     lease: int = 0
-    targets: tuple[tuple[str, int, float], ...] = ()
+    targets: tuple[tuple[str, int, int], ...] = ()
     stores: tuple[tuple[str, int], ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class RosterRequest:
+    """Ask for the list of routers.
+
+    Attributes:
+      router: The sender.
+    """
+
+    router: Router
+
+
+@dataclasses.dataclass(frozen=True)
+class RosterReply:
+    """List of routers.
+
+    Attributes:
+      sender: Name of the sender.
+      kind: Value of `routers.ListKind`: what the list says.
+      routers: The routers.
+    """
+
+    sender: str
+    kind: str
+    routers: tuple[Router, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class RowsRequest:
     """Ask for a table.
@@ -114,7 +182,33 @@
     batch: rows.Batch
 
 
-KINDS = {"status": Status, "rows-request": RowsRequest, "rows-reply": RowsReply}
+@dataclasses.dataclass(frozen=True)
+class RowsChange:
+    """Rows of a table that changed, told as soon as they did.
+
+    Attributes:
+      table: Name of the table.
+      after: Newest change that the sender knew before.
+      batch: The changed rows.
+    """
+
+    table: str
+    after: int
+    batch: rows.Batch
+
+
+# Whose requests the loads of a status sum up: of the sender, its data centre, or all routers.
+SCOPES = frozenset({"own", "data-centre", "all"})
+# What a list of routers says: they are heard by the sender, are held for alive, or only exist.
+LIST_KINDS = frozenset({"heard", "view", "hint"})
+KINDS = {
+    "status": Status,
+    "roster-request": RosterRequest,
+    "roster-reply": RosterReply,
+    "rows-request": RowsRequest,
+    "rows-reply": RowsReply,
+    "rows-change": RowsChange,
+}
 
 
 def encode(message) -> bytes:
@@ -131,20 +225,17 @@
     return item
 
 
-def decode(data: bytes) -> Status | RowsRequest | RowsReply:
-    """Return a message.
+def decode(data: bytes):
+    """Return a message, one of the types in `KINDS`.
 
     Raises:
       GossipError: When the bytes are not one.
     """
     try:
         kind, values = cbor2.loads(data)
-        if kind == "status":
-            return _status(values)
-        if kind == "rows-request":
-            return RowsRequest(*(_typed(value, str) for value in _sized(values, 2)))
-        if kind == "rows-reply":
-            return _rows_reply(values)
+        decoder = DECODERS.get(kind)
+        if decoder is not None:
+            return decoder(values)
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError, RecursionError) as error:
         raise GossipError(f"message is unreadable: {error}", "run one version") from error
     raise GossipError(f"message of unknown kind {kind!r}", "run one version on all VMs")
@@ -170,8 +261,10 @@
 def _status(values) -> Status:
     (
         router,
+        scope,
         versions,
-        routers,
+        is_following,
+        roster,
         loads,
         weights,
         prefixes,
@@ -179,30 +272,40 @@
         lease,
         targets,
         stores,
-    ) = _sized(values, 10)
+    ) = _sized(values, 12)
     return Status(
         router=_router(router),
+        scope=_one_of(SCOPES, scope),
         versions={_typed(name, str): _typed(v, int) for name, v in versions.items()},
-        routers=tuple(_router(item) for item in routers),
-        loads=tuple(Load(_typed(e, str), _typed(n, int), float(t)) for e, n, t in loads),
-        weights=tuple(
-            WeightsNews(_typed(e, str), _typed(m, str), _typed(v, int), bool(is_loading))
-            for e, m, v, is_loading in weights
-        ),
-        prefixes=tuple(
-            (_typed(key, bytes), _typed(tokens, int), _typed(holder, str), float(seconds))
-            for key, tokens, holder, seconds in prefixes
-        ),
+        is_following=_typed(is_following, bool),
+        roster=_typed(roster, int),
+        loads=_entries(Load, loads, str, int, int),
+        weights=_entries(WeightsNews, weights, str, str, int, bool),
+        prefixes=_entries(PrefixNews, prefixes, bytes, int, str, int),
         deaths=tuple(
-            (_typed(lifetime, str), tuple(_typed(item, str) for item in prints))
+            DeathNews(_typed(lifetime, str), tuple(_typed(item, str) for item in prints))
             for lifetime, prints in deaths
         ),
         lease=_typed(lease, int),
-        targets=tuple((_typed(m, str), _typed(v, int), float(age)) for m, v, age in targets),
+        targets=tuple((_typed(m, str), _typed(v, int), _typed(age, int)) for m, v, age in targets),
         stores=tuple((_typed(address, str), _typed(epoch, int)) for address, epoch in stores),
     )
 
 
+def _one_of(allowed: frozenset[str], value) -> str:
+    if value not in allowed:
+        raise TypeError(f"found {value!r}, expected one of {sorted(allowed)}")
+    return value
+
+
+def _entries(kind: type, values, *types: type) -> tuple:
+    """Return items of a data class from lists of plain values of given types."""
+    return tuple(
+        kind(*(_typed(value, known) for value, known in zip(item, types, strict=True)))
+        for item in values
+    )
+
+
 def _router(values) -> Router:
     name, boot, peer, ingress, data_centre, is_ready, processor, beat = _sized(values, 8)
     texts = [_typed(text, str) for text in (peer, ingress, data_centre)]
@@ -216,17 +319,35 @@
     )
 
 
-def _rows_reply(values) -> RowsReply:
-    table, (found, version, is_whole) = _sized(values, 2)
-    decoded = tuple(
-        rows.Row(_typed(k, str), _typed(v, int), _typed(data, bytes), _typed(gone, bool))
-        for k, v, data, gone in found
-    )
-    return RowsReply(
-        _typed(table, str), rows.Batch(decoded, _typed(version, int), _typed(is_whole, bool))
+def _roster_reply(values) -> RosterReply:
+    sender, kind, found = _sized(values, 3)
+    return RosterReply(
+        _typed(sender, str),
+        _one_of(LIST_KINDS, kind),
+        tuple(_router(item) for item in found),
     )
 
 
+def _rows_request(values) -> RowsRequest:
+    return RowsRequest(*(_typed(value, str) for value in _sized(values, 2)))
+
+
+def _rows_reply(values) -> RowsReply:
+    table, batch = _sized(values, 2)
+    return RowsReply(_typed(table, str), _batch(batch))
+
+
+def _rows_change(values) -> RowsChange:
+    table, after, batch = _sized(values, 3)
+    return RowsChange(_typed(table, str), _typed(after, int), _batch(batch))
+
+
+def _batch(values) -> rows.Batch:
+    found, version, is_whole = _sized(values, 3)
+    decoded = _entries(rows.Row, found, str, int, bytes, bool)
+    return rows.Batch(decoded, _typed(version, int), _typed(is_whole, bool))
+
+
 def _sized(values, count: int):
     if not isinstance(values, list) or len(values) != count:
         raise TypeError(f"expected {count} values")
@@ -237,3 +358,13 @@
     if type(value) is not kind:
         raise TypeError(f"found {type(value).__name__}, expected {kind.__name__}")
     return value
+
+
+DECODERS = {
+    "status": _status,
+    "roster-request": lambda values: RosterRequest(*map(_router, _sized(values, 1))),
+    "roster-reply": _roster_reply,
+    "rows-request": _rows_request,
+    "rows-reply": _rows_reply,
+    "rows-change": _rows_change,
+}
--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -1,6 +1,7 @@
 """Connections of callers: strict reading, answers, and notice of callers that leave."""
 
 import socket
+from collections.abc import Callable
 
 import gevent
 import gevent.server
@@ -59,15 +60,23 @@
     Args:
       channel: The connection.
       protocol: Encodes refusals.
+      is_stopping: Returns whether connections are no longer kept.
     """
 
-    def __init__(self, channel: http1.Channel, protocol: model.Protocol):
+    def __init__(
+        self,
+        channel: http1.Channel,
+        protocol: model.Protocol,
+        is_stopping: Callable[[], bool] = lambda: False,
+    ):
         self.channel = channel
         self.protocol = protocol
+        self.is_stopping = is_stopping
         self.closes = False
 
     def connection_fields(self) -> list[tuple[str, str]]:
         """Return the fields that tell whether the connection is kept."""
+        self.closes = self.closes or self.is_stopping()
         return [("Connection", "close")] if self.closes else []
 
     def send(self, data: bytes) -> None:
@@ -83,6 +92,7 @@
 
     def refuse(self, request_id: str | None, status: int, text: str, retry_after=None) -> None:
         """Send an answer of the gateway itself."""
+        self.closes = self.closes or self.is_stopping()
         self.send(self.protocol.encode_refusal(request_id, status, text, retry_after, self.closes))
 
 
@@ -144,7 +154,7 @@
     def _serve_next(self, channel: http1.Channel) -> bool:
         """Serve one request; return whether another may follow."""
         limits = self._limits()
-        caller = Caller(channel, self.protocol)
+        caller = Caller(channel, self.protocol, lambda: self.is_stopping)
         if not channel.buffer and not self._await_request(channel, limits):
             return False
         arrived_at = self.clock.monotonic()
--- a/bronzemux/gateway/knowledge.py
+++ b/bronzemux/gateway/knowledge.py
@@ -62,6 +62,21 @@
         return max((v for v, known_at in self.known_at.items() if known_at < at), default=0)
 
 
+@dataclasses.dataclass(frozen=True)
+class RowsChanged:
+    """Rows of a table that were new here.
+
+    Attributes:
+      table: Name of the table.
+      after: Newest change that was known before.
+      batch: The rows.
+    """
+
+    table: str
+    after: int
+    batch: rows.Batch
+
+
 class Knowledge:
     """Replicas of the store's tables and what they mean.
 
@@ -86,6 +101,8 @@
         self.store_back_at = -1e9
         self.removals: dict[str, float] = {}
         self.on_change: list[Callable[[], None]] = []
+        self.on_rows: list[Callable[[RowsChanged], None]] = []
+        self.followed: set[str] = set()
 
     def take(self, name: str, batch: rows.Batch, source: str) -> None:
         """Take rows in that the store or a peer showed.
@@ -96,9 +113,14 @@
           source: Who showed them, for logs.
         """
         self.heard_at = self.clock.monotonic()
-        changed = self.replicas[name].apply(batch)
-        if not changed:
+        replica = self.replicas[name]
+        after, was_read = replica.changed_version, replica.version >= 0
+        changed = replica.apply(batch)
+        if not changed and was_read:
             return
+        news = RowsChanged(name, after, rows.Batch(changed, batch.version, is_whole=False))
+        for listener in self.on_rows:
+            listener(news)
         if name == self.documents.operator_table:
             for row in changed:
                 self._take_operator(row, source)
@@ -209,11 +231,20 @@
             self.endpoints.remove(key)
             logs.event("endpoint_gone", id=key, outcome="left after the store was back")
 
-    def contact(self, table: str, is_up: bool) -> None:
-        """Note that the store was lost or regained."""
+    def contact(self, table: str, is_up: bool | None) -> None:
+        """Note that the store was lost or regained, or is no longer followed.
+
+        Args:
+          table: Name of the table.
+          is_up: Whether the store answers, None when this router does not ask it.
+        """
         now = self.clock.monotonic()
         was_away = self.is_store_away()
-        self.store_lost_at[table] = None if is_up else now
+        self.store_lost_at[table] = now if is_up is False else None
+        if is_up:
+            self.followed.add(table)
+        else:
+            self.followed.discard(table)
         if was_away and not self.is_store_away():
             self.store_back_at = now
 
@@ -221,6 +252,15 @@
         """Return whether the store does not answer this router."""
         return any(at is not None for at in self.store_lost_at.values())
 
+    def is_complete(self) -> bool:
+        """Return whether a configuration is in force and the endpoints were read."""
+        is_read = self.replicas[self.documents.endpoint_table].version >= 0
+        return is_read and self.configuration is not None
+
+    def is_following(self) -> bool:
+        """Return whether this router follows all tables and the store answers."""
+        return len(self.followed) == len(self.replicas)
+
     def target(self, model_name: str) -> Target | None:
         """Return the weights that the operator asks for, None when none were named."""
         return self.targets.get(model_name)
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -1,7 +1,9 @@
-"""Task that exchanges status with the other gateways."""
+"""Task that exchanges what gateways believe, and brings the store's rows to those that do not read
+them."""
 
 import dataclasses
 import functools
+from collections.abc import Callable
 
 from bronzemux import errors, logs, peers, supervisor
 from bronzemux.gateway import (
@@ -10,6 +12,7 @@
     forwarder,
     gossip,
     knowledge,
+    relaying,
     routers,
     rows,
     settings,
@@ -20,8 +23,17 @@
 KEEPALIVE_SECONDS = 1.0
 # A peer's newer table is asked for when the own feed did not bring it in this time.
 BEHIND_SECONDS = 0.3
-# Two status messages without the rows that were asked for.
+# Two status messages without what was asked for.
 REPEAT_SECONDS = 0.5
+# A router that is not told regularly hears this often that its messages arrive, so that it can ask
+# for the list of routers and find its relays.
+ANSWER_SECONDS = 0.5
+# A router reads the store itself when no relay that follows it was heard for so long: with the
+# reading it takes well under the time in which a configuration must be in force.
+RELAY_SECONDS = 1.0
+# A router that has just started asks the others first: a few times what three of their answers
+# take, one after the other, between data centres.
+START_SECONDS = 0.3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +71,7 @@
       served: Forwarder whose loads are told and whose caches are learned.
       board: Weights that are known of endpoints.
       table: Routers.
+      connect: Returns a connection to the router at an address.
     """
 
     def __init__(
@@ -67,6 +80,7 @@
         served: forwarder.Forwarder,
         board: weights.WeightsBoard,
         table: routers.RouterTable,
+        connect: Callable[[str], peers.Peer] | None = None,
     ):
         super().__init__("peering", served.parts.clock, routers.STATUS_SECONDS)
         self.settings = config
@@ -75,16 +89,24 @@
         self.knowledge: knowledge.Knowledge = served.parts.knowledge
         self.board = board
         self.table = table
+        self.connect = connect or self._connect
         self.peers: dict[str, peers.Peer] = {}
         self.behind: dict[str, Behind] = {}
-        self.deaths: list[tuple[str, tuple[str, ...]]] = []
+        self.prefixes = relaying.Outbox()
+        self.deaths = relaying.Outbox()
+        self.asked_at: dict[str, float] = {}
+        self.answered_at: dict[str, float] = {}
+        self.following_heard_at = -1e9
+        self.started_at = self.clock.monotonic()
         self.repeats = logs.RepeatFilter(self.clock)
         self.server: peers.PeerServer | None = None
         self.known_names: frozenset[str] = frozenset()
+        self.was_relay: bool | None = None
         served.on_deaths = self._on_deaths
         self.is_announcing = False
         board.on_news.append(self.announce_soon)
         served.parts.index.on_news.append(self.announce_soon)
+        self.knowledge.on_rows.append(self._on_rows)
 
     def run(self) -> None:
         """Accept connections, send status and handle messages."""
@@ -111,12 +133,46 @@
 
     def is_cache_watcher(self) -> bool:
         """Return whether this router is one of those that watch cache stores."""
-        heard = self.table.heard(self.clock.monotonic())
-        before = sum(router.name < self.table.own.name for router in heard)
+        now = self.clock.monotonic()
+        if not self.table.is_relay(now):
+            return False
+        direct = [r for r in self.table.direct(now) if not self.table.is_relayed_to(r, now)]
+        before = sum(router.name < self.table.own.name for router in direct)
         return before < cache_watch.MAX_WATCHERS
 
+    def is_alone_or_relay(self) -> bool:
+        """Return whether this router contends for leases: a relay, or one that hears nobody."""
+        now = self.clock.monotonic()
+        return self.table.is_relay(now) or not self.table.alive(now)
+
+    def must_follow_store(self) -> bool:
+        """Return whether this router has to follow the store itself.
+
+        Relays do; the others get the rows from them, as long as one is heard that follows it.
+        """
+        now = self.clock.monotonic()
+        has_others = any(seed != self.settings.peer_address for seed in self.settings.seeds)
+        if not has_others and not self.table.known:
+            return True
+        age = now - self.started_at
+        if age < START_SECONDS:
+            return False
+        if self.table.is_relay(now):
+            return True
+        return age >= RELAY_SECONDS and now - self.following_heard_at > RELAY_SECONDS
+
     def _on_deaths(self, lifetime: str, prints: list[str]) -> None:
-        self.deaths.append((lifetime, tuple(prints)))
+        self.deaths.add(gossip.DeathNews(lifetime, tuple(prints)))
+
+    def _on_rows(self, change: knowledge.RowsChanged) -> None:
+        """Tell the routers of this data centre what changed, if this router is their relay."""
+        now = self.clock.monotonic()
+        local = [r for r in self.table.targets(now) if self.table.is_relayed_to(r, now)]
+        if not local:
+            return
+        message = gossip.encode(gossip.RowsChange(change.table, change.after, change.batch))
+        for router in local:
+            self._send(router.peer_address, message)
 
     # Sending
 
@@ -128,58 +184,82 @@
         self._announce()
 
     def _note_members(self, now: float) -> None:
-        names = frozenset(router.name for router in self.table.heard(now))
+        self.table.alive(now)
+        names = self.table.names
         self.parts.meters.routers.set(len(names) + 1)
-        if names != self.known_names:
+        is_relay = self.table.is_relay(now)
+        if names != self.known_names or is_relay != self.was_relay:
             logs.event(
                 "routers",
                 joined=",".join(sorted(names - self.known_names)),
                 lost=",".join(sorted(self.known_names - names)),
                 count=len(names) + 1,
+                relay=is_relay,
             )
-            self.known_names = names
+            self.known_names, self.was_relay = names, is_relay
 
     def _announce(self) -> None:
-        addresses = self.table.neighbours(self.settings.seeds)
-        for address in set(self.peers) - set(addresses):
+        now = self.clock.monotonic()
+        targets = {r.peer_address: self.table.audience(r, now) for r in self.table.targets(now)}
+        if not self.table.direct(now) or now - self.started_at < RELAY_SECONDS:
+            for seed in self.settings.seeds:
+                targets.setdefault(seed, routers.Audience.FELLOW)
+        targets.pop(self.settings.peer_address, None)
+        self._close_idle(targets, now)
+        router = self.table.next_beat()
+        for audience in routers.Audience:
+            addresses = [address for address, found in targets.items() if found is audience]
+            if not addresses:
+                continue
+            message = gossip.encode(self._status(router, audience, now))
+            for address in addresses:
+                self._send(address, message)
+
+    def _close_idle(self, targets, now: float) -> None:
+        """Close connections to routers that get neither status messages nor answers."""
+        answered = {a for a, at in self.answered_at.items() if now - at < routers.SILENT_SECONDS}
+        for address in set(self.peers) - set(targets) - answered:
             self.peers.pop(address).close()
-        message = gossip.encode(self._status())
-        for address in addresses:
-            self._send(address, message)
+            self.answered_at.pop(address, None)
 
     def _send(self, address: str, message: bytes) -> None:
         peer = self.peers.get(address)
         if peer is None:
-            peer = peers.Peer(address, self.parts.meters, KEEPALIVE_SECONDS)
-            self.peers[address] = peer
+            peer = self.peers[address] = self.connect(address)
         peer.send(message)
 
-    def _status(self) -> gossip.Status:
-        now = self.clock.monotonic()
-        replicas = self.knowledge.replicas
-        deaths, self.deaths = self.deaths, []
+    def _connect(self, address: str) -> peers.Peer:
+        return peers.Peer(address, self.parts.meters, KEEPALIVE_SECONDS)
+
+    def _answer(self, router: gossip.Router, message, now: float) -> None:
+        """Send a message to a router that need not be one of the targets."""
+        self.answered_at[router.peer_address] = now
+        self._send(router.peer_address, gossip.encode(message))
+
+    def _status(
+        self, router: gossip.Router, audience: routers.Audience, now: float
+    ) -> gossip.Status:
+        roster = self.table.roster(audience, now)
+        for item in self.parts.index.take_news():
+            milliseconds = int((item.ready_at - now) * 1000)
+            self.prefixes.add(gossip.PrefixNews(item.key, item.tokens, item.holder, milliseconds))
         return gossip.Status(
-            router=self.table.next_beat(),
-            versions={name: replica.changed_version for name, replica in replicas.items()},
-            routers=tuple(self.table.heard(now)),
-            loads=tuple(
-                gossip.Load(key, state.in_flight, state.backlog_tokens)
-                for key, state in self.knowledge.endpoints.states.items()
-                if state.in_flight
-            ),
-            weights=self.board.news(),
-            prefixes=tuple(
-                (item.key, item.tokens, item.holder, item.ready_at - now)
-                for item in self.parts.index.take_news()
-            ),
-            deaths=tuple(deaths),
+            router=router,
+            scope=relaying.SCOPES[audience].value,
+            versions=self._versions(),
+            is_following=self.knowledge.is_following(),
+            roster=routers.checksum(roster) if roster else 0,
+            loads=relaying.loads(self.knowledge.endpoints.states, audience, now),
+            weights=self.board.news(audience),
+            prefixes=self.prefixes.take(audience),
+            deaths=self.deaths.take(audience),
             lease=self.board.lease_version,
             targets=tuple(
-                (model_name, version, now - at)
+                (model_name, version, int((now - at) * 1000))
                 for model_name, target in self.knowledge.targets.items()
                 for version, at in target.known_at.items()
             ),
-            stores=tuple(self.parts.index.epochs.items()) if self.is_cache_watcher() else (),
+            stores=tuple(self.parts.index.epochs.items()) if self.table.is_relay(now) else (),
         )
 
     # Receiving
@@ -209,33 +289,79 @@
         name = message.router.name
         if name == self.table.own.name:
             return
+        known = self.table.known.get(name)
         self.table.hear(message.router, now)
-        for router in message.routers:
-            self.table.hear(router, now)
-        self._take_loads(name, message.loads, now)
-        self.board.take_news(message.weights, name)
+        if known is None or known.router.is_ready != message.router.is_ready:
+            self.announce_soon()
+        self._compare_routers(message, now)
+        audiences = relaying.passed_on(message, self.table, now)
+        relaying.take_loads(self.knowledge.endpoints.states, message, now)
+        self.board.take_news(message.weights, audiences)
         self.board.take_lease(name, message.lease, now)
-        for model_name, version, age in message.targets:
-            self.knowledge.note_target(model_name, version, max(0.0, age))
-        for key, tokens, holder, seconds in message.prefixes:
-            self._take_prefix(cache_index.News(key, tokens, holder, now + seconds))
-        for lifetime, prints in message.deaths:
-            self.parts.quarantine.record_death(lifetime, lifetime, prints, now)
-        if not self.is_cache_watcher():
+        for model_name, version, milliseconds in message.targets:
+            self.knowledge.note_target(model_name, version, max(0, milliseconds) / 1000)
+        for item in message.prefixes:
+            self._take_prefix(item, now)
+            self.prefixes.add(item, audiences)
+        for item in message.deaths:
+            self.parts.quarantine.record_death(
+                item.lifetime, item.lifetime, list(item.fingerprints), now
+            )
+            self.deaths.add(item, audiences)
+        if audiences and (message.prefixes or message.deaths):
+            self.announce_soon()
+        if message.stores and not self.is_cache_watcher():
             for address, epoch in message.stores:
                 self.parts.index.note_store(address, epoch)
+        if message.is_following:
+            self.following_heard_at = now
         self._compare(message, now)
 
-    def _take_loads(self, name: str, loads, now: float) -> None:
-        found = {load.endpoint: load for load in loads}
-        for key, state in self.knowledge.endpoints.states.items():
-            load = found.get(key)
-            if load is not None:
-                state.peer_loads[name] = (load.requests, load.tokens, now)
-            else:
-                state.peer_loads.pop(name, None)
+    def _compare_routers(self, message: gossip.Status, now: float) -> None:
+        """Ask for a list of routers that changed, and answer a router that is not told regularly."""
+        router = message.router
+        is_changed = not self.table.has_roster(router.name, message.roster)
+        if is_changed and now - self.asked_at.get(router.name, -1e9) >= REPEAT_SECONDS:
+            self.asked_at[router.name] = now
+            self._answer(router, gossip.RosterRequest(self.table.own), now)
+        is_due = now - self.answered_at.get(router.peer_address, -1e9) >= ANSWER_SECONDS
+        if is_due and not self._is_target(router, now):
+            self._answer(router, self._sign_of_life(now), now)
+
+    def _is_target(self, router: gossip.Router, now: float) -> bool:
+        return any(item.name == router.name for item in self.table.targets(now))
+
+    def _sign_of_life(self, now: float) -> gossip.Status:
+        """Return a status for a router that is not told news, but may ask who there is."""
+        return gossip.Status(
+            router=self.table.next_beat(),
+            scope=relaying.Scope.OWN.value,
+            versions=self._versions(),
+            is_following=self.knowledge.is_following(),
+            roster=routers.checksum(self.table.roster(routers.Audience.LOCAL, now)),
+        )
+
+    def _versions(self) -> dict[str, int]:
+        return {name: item.changed_version for name, item in self.knowledge.replicas.items()}
+
+    @handle.register
+    def _roster_request(self, message: gossip.RosterRequest) -> None:
+        now = self.clock.monotonic()
+        audience, kind = routers.Audience.LOCAL, routers.ListKind.HINT
+        if self._is_target(message.router, now):
+            audience = self.table.audience(message.router, now)
+            is_local = audience is routers.Audience.LOCAL
+            kind = routers.ListKind.VIEW if is_local else routers.ListKind.HEARD
+        found = tuple(self.table.roster(audience, now))
+        reply = gossip.RosterReply(self.table.own.name, kind.value, found)
+        self._answer(message.router, reply, now)
+
+    @handle.register
+    def _roster_reply(self, message: gossip.RosterReply) -> None:
+        kind = routers.ListKind(message.kind)
+        self.table.take_roster(message.sender, message.routers, kind, self.clock.monotonic())
 
-    def _take_prefix(self, item: cache_index.News) -> None:
+    def _take_prefix(self, item: gossip.PrefixNews, now: float) -> None:
         config = self.knowledge.configuration
         if config is None or len(item.key) != cache_index.KEY_BYTES or item.tokens < 0:
             return
@@ -243,7 +369,9 @@
         capacity = store.cache_tokens if store is not None else self._capacity(item.holder, config)
         room = int(capacity * cache_index.CACHE_SHARE)
         if room:
-            self.parts.index.add(item, room, is_own=False)
+            ready_at = now + item.milliseconds / 1000
+            news = cache_index.News(item.key, item.tokens, item.holder, ready_at)
+            self.parts.index.add(news, room, is_own=False)
 
     def _capacity(self, lifetime: str, config) -> int:
         state = self.knowledge.endpoints.states.get(lifetime.rpartition("/")[0])
@@ -260,14 +388,16 @@
             is_due = now - gap.since >= BEHIND_SECONDS or self.knowledge.is_store_away()
             if (is_due or replica.version < 0) and now - gap.asked_at >= REPEAT_SECONDS:
                 gap.asked_at = now
-                request = gossip.RowsRequest(name, self.settings.peer_address)
-                self._send(message.router.peer_address, gossip.encode(request))
+                self._answer(
+                    message.router, gossip.RowsRequest(name, self.settings.peer_address), now
+                )
 
     @handle.register
     def _rows_request(self, message: gossip.RowsRequest) -> None:
         replica = self.knowledge.replicas.get(message.table)
         if replica is not None and replica.version >= 0:
             reply = gossip.RowsReply(message.table, replica.snapshot())
+            self.answered_at[message.reply_to] = self.clock.monotonic()
             self._send(message.reply_to, gossip.encode(reply))
 
     @handle.register
@@ -277,3 +407,11 @@
         batch = message.batch
         whole = rows.Batch(batch.rows, batch.version, is_whole=True)
         self.knowledge.take(message.table, whole, "peer")
+
+    @handle.register
+    def _rows_change(self, message: gossip.RowsChange) -> None:
+        replica = self.knowledge.replicas.get(message.table)
+        if replica is None or message.batch.is_whole or replica.changed_version < message.after:
+            # The next status message shows what is missing, and all rows are asked for.
+            return
+        self.knowledge.take(message.table, message.batch, "relay")
--- a/bronzemux/gateway/routers.py
+++ b/bronzemux/gateway/routers.py
@@ -1,6 +1,18 @@
-"""Which routers there are, and which of them callers are told to use; a machine without I/O."""
+"""Which routers there are, how they reach each other, and which of them callers are told to use.
+
+A machine without I/O. While routers are few, each talks to all. Beyond that, the strongest two of
+each data centre are relays: they talk to all of their data centre and to the relays of the others,
+and the rest talks to them alone.
+
+A router is alive for another one that gets its messages, or that gets a list with it. Relays tell
+each other only whom they hear themselves, and only relays tell the rest whom they hold for alive;
+so no two routers keep a third one alive by telling each other of it.
+"""
 
 import dataclasses
+import enum
+import hashlib
+import zlib
 from collections.abc import Iterable
 
 from bronzemux.gateway import gossip
@@ -10,15 +22,57 @@
 # A router is taken to be away after this many of its status messages are missing.
 MISSED_STATUSES = 5
 SILENT_SECONDS = STATUS_SECONDS * MISSED_STATUSES
-# Routers that were not heard for so long are no longer connected to.
+# The list of a relay that fell silent counts for this much longer: the time in which its
+# data centre chooses another.
+LINGER_SECONDS = SILENT_SECONDS
+# Routers that nobody showed for so long are no longer connected to.
 FORGET_SECONDS = 60.0
-# Routers that one router talks to; with more, each hears of the rest through these.
-MAX_NEIGHBOURS = 10
+# Routers that all talk to each other; with more, relays pass news on.
+MAX_MESH = 16
+# Relays of a data centre: the loss of one leaves the other while the next is chosen.
+RELAYS = 2
 # Most addresses that callers take from one answer.
 MAX_ADDRESSES = 64
 # Callers of a data centre are told only of its own routers from this many on, so that the loss
 # of any one leaves a choice.
 LOCAL_ROUTERS = 3
+# A router below this part of the strongest one's processor takes twice as long for each request;
+# it is a reserve while the others have enough of all processors together.
+STRONG_SHARE = 0.5
+ENOUGH_SHARE = 0.5
+# Fewer strong routers than this would make the loss of one felt by too many callers.
+MIN_STRONG = 4
+# Reserve routers together get this part of a shared budget; with the part that is used of the
+# budget (`budget.USED_SHARE`) the sum stays below it.
+RESERVE_DIVISOR = 8
+# What is alive is worked out anew at most this often between messages.
+VIEW_SECONDS = 0.1
+
+
+class ListKind(enum.Enum):
+    """What a list of routers says.
+
+    HEARD: The sender hears them itself.
+    VIEW: The sender, a relay of the receiver, holds them for alive.
+    HINT: They exist.
+    """
+
+    HEARD = "heard"
+    VIEW = "view"
+    HINT = "hint"
+
+
+class Audience(enum.Enum):
+    """Who a status message is for, which decides what is passed on in it.
+
+    FELLOW: A relay of the same data centre, or any router while all talk to each other.
+    REMOTE: A relay of another data centre.
+    LOCAL: A router of the data centre for which this one is a relay.
+    """
+
+    FELLOW = "fellow"
+    REMOTE = "remote"
+    LOCAL = "local"
 
 
 @dataclasses.dataclass
@@ -27,11 +81,66 @@
 
     Attributes:
       router: What it last told.
-      heard_at: Monotonic seconds at which its last news arrived.
+      heard_at: Monotonic seconds of its last own message.
+      shown_at: Monotonic seconds at which it was last alive here.
     """
 
     router: gossip.Router
     heard_at: float
+    shown_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Roster:
+    """Routers that another one listed.
+
+    Attributes:
+      names: Their names.
+      checksum: Checksum of the list.
+      kind: What the list says.
+    """
+
+    names: frozenset[str]
+    checksum: int
+    kind: ListKind
+
+
+@dataclasses.dataclass(frozen=True)
+class Layout:
+    """Who talks to whom, as one router works it out.
+
+    Attributes:
+      is_mesh: Whether routers are so few that each talks to all.
+      relays: Names of the relays of the own data centre.
+      targets: Routers that get the own status messages.
+    """
+
+    is_mesh: bool
+    relays: frozenset[str]
+    targets: tuple[gossip.Router, ...]
+
+
+def checksum(found: Iterable[gossip.Router]) -> int:
+    """Return a number that differs when the list or what matters of its routers differs."""
+    hasher = hashlib.blake2b(digest_size=7)
+    for router in sorted(found, key=lambda item: item.name):
+        text = f"{router.name} {router.boot} {router.is_ready} {router.ingress_address}\n"
+        hasher.update(text.encode())
+    return int.from_bytes(hasher.digest(), "big")
+
+
+def strength_key(router: gossip.Router) -> tuple[float, str]:
+    """Return the key that sorts the strongest router first, the same way everywhere."""
+    return (-router.processor, router.name)
+
+
+def _strongest(found, data_centre: str, count: int = RELAYS) -> list[gossip.Router]:
+    local = [router for router in found if router.data_centre == data_centre]
+    return sorted(local, key=strength_key)[:count]
+
+
+def _is_alike(one: gossip.Router, other: gossip.Router) -> bool:
+    return dataclasses.replace(one, beat=other.beat) == other
 
 
 def _age_key(router: gossip.Router) -> tuple[int, int]:
@@ -48,58 +157,242 @@
     def __init__(self, own: gossip.Router):
         self.own = own
         self.known: dict[str, Known] = {}
+        self.rosters: dict[str, Roster] = {}
+        self.view: list[gossip.Router] = []
+        self.view_at = -1e9
+        self.names: frozenset[str] = frozenset()
+        self.layout = Layout(True, frozenset(), ())
 
-    def hear(self, router: gossip.Router, now: float) -> bool:
-        """Take news of a router in, from itself or passed on by another.
+    # News
 
-        What two routers pass on to each other must not keep a third one alive, so only a later
-        start or a later message of the router itself is news.
+    def hear(self, router: gossip.Router, now: float) -> bool:
+        """Take in what a router told of itself.
 
         Args:
           router: What it told.
           now: Monotonic seconds.
 
         Returns:
-          Whether it is news.
+          Whether it is news; a message that was overtaken is none.
         """
         if router.name == self.own.name:
             return False
         known = self.known.get(router.name)
+        if known is None or router.name not in self.names or not _is_alike(router, known.router):
+            self.view_at = -1e9
         if known is not None and _age_key(router) <= _age_key(known.router):
             # A clock that was set back gives a new process an earlier start than the one before.
             is_silent = now - known.heard_at > SILENT_SECONDS
             if not is_silent or router.boot == known.router.boot:
                 return False
-        self.known[router.name] = Known(router, now)
+        self.known[router.name] = Known(router, now, now)
         return True
 
+    def learn(self, router: gossip.Router, now: float) -> None:
+        """Note that a router exists, without a sign that it is alive."""
+        if router.name != self.own.name and router.name not in self.known:
+            self.known[router.name] = Known(router, -1e9, now)
+            self.view_at = -1e9
+
+    def take_roster(
+        self, sender: str, found: Iterable[gossip.Router], kind: ListKind, now: float
+    ) -> None:
+        """Take the list of another router in; it counts while that router itself is heard.
+
+        Args:
+          sender: Name of the router that listed them.
+          found: The routers.
+          kind: What the list says.
+          now: Monotonic seconds.
+        """
+        found = list(found)
+        for router in found:
+            known = self.known.get(router.name)
+            if known is None:
+                self.learn(router, now)
+            elif _age_key(router) > _age_key(known.router):
+                known.router = router
+        names = frozenset(router.name for router in found) - {sender}
+        self.rosters[sender] = Roster(names, checksum(found), kind)
+        self.view_at = -1e9
+
+    def has_roster(self, sender: str, number: int) -> bool:
+        """Return whether the list of a router is known as it is now.
+
+        Args:
+          sender: Name of the router.
+          number: Checksum of its list, 0 when it has none to tell.
+        """
+        if not number:
+            if self.rosters.pop(sender, None) is not None:
+                self.view_at = -1e9
+            return True
+        known = self.rosters.get(sender)
+        return known is not None and known.checksum == number
+
     def next_beat(self) -> gossip.Router:
         """Return what this router tells of itself in its next message."""
         self.own = dataclasses.replace(self.own, beat=self.own.beat + 1)
         return self.own
 
     def forget_silent(self, now: float) -> None:
-        """Drop routers that were not heard for long."""
-        for name in [n for n, k in self.known.items() if now - k.heard_at > FORGET_SECONDS]:
+        """Drop routers that nobody showed for long."""
+        self.alive(now)
+        for name in [n for n, k in self.known.items() if now - k.shown_at > FORGET_SECONDS]:
             del self.known[name]
+            self.rosters.pop(name, None)
+            self.view_at = -1e9
 
-    def heard(self, now: float) -> list[gossip.Router]:
-        """Return the routers that were heard a moment ago, without this one."""
-        return [k.router for k in self.known.values() if now - k.heard_at < SILENT_SECONDS]
+    # Who is alive
 
-    def serving(self, now: float) -> list[gossip.Router]:
-        """Return the routers that take callers.
+    def direct(self, now: float, seconds: float = SILENT_SECONDS) -> list[gossip.Router]:
+        """Return the routers whose own messages came a moment ago."""
+        return [k.router for k in self.known.values() if now - k.heard_at < seconds]
+
+    def alive(self, now: float) -> list[gossip.Router]:
+        """Return the routers that are alive as far as is known here, without this one."""
+        if not 0 <= now - self.view_at < VIEW_SECONDS:
+            self._work_out(now)
+        return self.view
+
+    def _work_out(self, now: float) -> None:
+        heard = self._listed(now, (ListKind.HEARD,))
+        listed = self._listed(now, (ListKind.HEARD, ListKind.VIEW))
+        own_relays = _strongest([*listed, self.own], self.own.data_centre)
+        is_relay = any(router.name == self.own.name for router in own_relays)
+        is_mesh = len(self.known) < MAX_MESH
+        self.view, self.view_at = (heard if is_mesh or is_relay else listed), now
+        self.names = frozenset(router.name for router in self.view)
+        for name in self.names:
+            self.known[name].shown_at = now
+        relays = frozenset() if is_mesh else frozenset(router.name for router in own_relays)
+        targets = self._all() if is_mesh else self._targets(own_relays, is_relay, now)
+        self.layout = Layout(is_mesh, relays, tuple(targets))
+
+    def _listed(self, now: float, kinds: tuple[ListKind, ...]) -> list[gossip.Router]:
+        """Return the routers that are heard here, or are on a list of one that is heard.
+
+        The list of a relay that fell silent counts a little longer, but not for routers that were
+        heard here and fell silent with it.
+        """
+        fresh: set[str] = set()
+        lingering: set[str] = set()
+        for sender, roster in self.rosters.items():
+            known = self.known.get(sender)
+            if known is None or roster.kind not in kinds:
+                continue
+            if now - known.heard_at < SILENT_SECONDS:
+                fresh |= roster.names
+            elif now - known.heard_at < SILENT_SECONDS + LINGER_SECONDS:
+                lingering |= roster.names
+        found = []
+        for name, known in self.known.items():
+            silence = now - known.heard_at
+            if (
+                silence < SILENT_SECONDS
+                or name in fresh
+                or (name in lingering and silence > SILENT_SECONDS + LINGER_SECONDS)
+            ):
+                found.append(known.router)
+        return found
+
+    def _all(self) -> list[gossip.Router]:
+        return [known.router for known in self.known.values()]
+
+    def believed(self, now: float) -> list[gossip.Router]:
+        """Return the routers that are alive, or all known ones when none seems to be.
+
+        Who hears nobody is more likely to be cut off itself than to be the last one.
+        """
+        return self.alive(now) or self._all()
+
+    # Who talks to whom
+
+    def _targets(self, own_relays, is_relay: bool, now: float) -> list[gossip.Router]:
+        if not is_relay:
+            return [*own_relays, *self._probed(now)]
+        own = self.own.data_centre
+        targets = [router for router in self.view if router.data_centre == own]
+        for data_centre in sorted({router.data_centre for router in self._all()} - {own}):
+            targets += _strongest(self.view, data_centre)
+        return targets + self._probed(now)
+
+    def _probed(self, now: float) -> list[gossip.Router]:
+        """Return routers that nobody shows and that are tried, as they may be back.
 
-        Who hears nobody is more likely to be cut off itself than to be the last one, so it goes
-        on naming those that it knows.
+        The strongest of the data centre are tried all the time, as they would be relays; the rest
+        takes turns.
         """
-        heard = self.heard(now) or [k.router for k in self.known.values()]
-        found = [router for router in heard if router.is_ready]
+        doubtful = [router for router in self._all() if router.name not in self.names]
+        doubtful.sort(key=strength_key)
+        start = int(now / SILENT_SECONDS) * RELAYS % max(1, len(doubtful))
+        turn = doubtful[start : start + RELAYS]
+        first = _strongest(doubtful, self.own.data_centre)
+        return first + [router for router in turn if router not in first]
+
+    def current(self, now: float) -> Layout:
+        """Return who talks to whom now."""
+        self.alive(now)
+        return self.layout
+
+    def targets(self, now: float) -> tuple[gossip.Router, ...]:
+        """Return the routers that get this one's status messages."""
+        return self.current(now).targets
+
+    def is_relay(self, now: float) -> bool:
+        """Return whether this router passes news on, follows the store and may give orders."""
+        layout = self.current(now)
+        return layout.is_mesh or self.own.name in layout.relays
+
+    def audience(self, router: gossip.Router, now: float) -> Audience:
+        """Return what another router is to this one."""
+        layout = self.current(now)
+        if layout.is_mesh:
+            return Audience.FELLOW
+        if router.data_centre != self.own.data_centre:
+            return Audience.REMOTE
+        if self.own.name in layout.relays and router.name not in layout.relays:
+            return Audience.LOCAL
+        return Audience.FELLOW
+
+    def is_relayed_to(self, router: gossip.Router, now: float) -> bool:
+        """Return whether this router is a relay for another one."""
+        return self.audience(router, now) is Audience.LOCAL
+
+    def roster(self, audience: Audience, now: float) -> list[gossip.Router]:
+        """Return the list of routers that another one gets from this one."""
+        if audience is Audience.LOCAL:
+            return [*self.alive(now), self.own]
+        return self.direct(now) if self.is_relay(now) else []
+
+    # Who serves callers
+
+    def serving(self, now: float) -> list[gossip.Router]:
+        """Return the routers that take callers."""
+        found = [router for router in self.believed(now) if router.is_ready]
         return [self.own, *found] if self.own.is_ready else found
 
+    def named(self, now: float) -> list[gossip.Router]:
+        """Return the routers that callers are told to use: the strong ones while they suffice."""
+        serving = self.serving(now)
+        least = STRONG_SHARE * max((r.processor for r in serving), default=0.0)
+        strong = [router for router in serving if router.processor >= least]
+        enough = ENOUGH_SHARE * sum(router.processor for router in serving)
+        is_enough = sum(router.processor for router in strong) >= enough
+        return strong if is_enough and len(strong) >= MIN_STRONG else serving
+
     def count(self, now: float) -> int:
-        """Return the number of routers that share budgets, this one included."""
-        return 1 + len(self.known if self.known else self.heard(now))
+        """Return by how many this router divides a budget that all of them share.
+
+        Routers that callers are told to use share it; the others, which only serve callers that
+        come late, have an eighth of it together.
+        """
+        if len(self.known) < MAX_MESH:
+            return 1 + len(self.known)
+        named = self.named(now)
+        if any(router.name == self.own.name for router in named):
+            return len(named)
+        return RESERVE_DIVISOR * (1 + len(self.known))
 
     def addresses(self, data_centre: str, now: float) -> list[str]:
         """Return where callers of a data centre connect.
@@ -108,28 +401,13 @@
           data_centre: Where the caller is.
           now: Monotonic seconds.
         """
-        serving = self.serving(now)
-        local = [router for router in serving if router.data_centre == data_centre]
-        chosen = local if len(local) >= LOCAL_ROUTERS else serving
-        return sorted(router.ingress_address for router in chosen)[:MAX_ADDRESSES]
-
-    def neighbours(self, seeds: Iterable[str]) -> list[str]:
-        """Return the peer addresses of the routers to talk to.
-
-        All routers when they are few; otherwise those that follow in the order of names, at
-        distances that double, so that news reaches everyone in few steps.
-
-        Args:
-          seeds: Peer addresses from the settings, used until routers are known.
-        """
-        names = sorted([*self.known, self.own.name])
-        place = names.index(self.own.name)
-        if len(self.known) <= MAX_NEIGHBOURS:
-            chosen = list(self.known)
-        else:
-            steps = [2**power for power in range(MAX_NEIGHBOURS) if 2**power < len(names)]
-            chosen = [names[(place + step) % len(names)] for step in steps]
-        addresses = {self.known[name].router.peer_address for name in chosen}
-        addresses |= set(seeds)
-        addresses.discard(self.own.peer_address)
-        return sorted(addresses)
+        named = self.named(now)
+        local = [router for router in named if router.data_centre == data_centre]
+        chosen = sorted(
+            local if len(local) >= LOCAL_ROUTERS else named, key=lambda router: router.name
+        )
+        if len(chosen) > MAX_ADDRESSES:
+            # Each router leaves others out, so that callers spread over all of them.
+            start = zlib.crc32(self.own.name.encode()) % len(chosen)
+            chosen = [*chosen[start:], *chosen[:start]][:MAX_ADDRESSES]
+        return [router.ingress_address for router in chosen]
--- a/bronzemux/gateway/weights.py
+++ b/bronzemux/gateway/weights.py
@@ -8,7 +8,7 @@
 
 from bronzemux import clock as clocks
 from bronzemux import errors, lease, logs, supervisor
-from bronzemux.gateway import endpoints, gossip, knowledge, meters, orders, settings
+from bronzemux.gateway import endpoints, gossip, knowledge, meters, orders, routers, settings
 
 # Fine against the 0.7 s that a load takes.
 TICK_SECONDS = 0.05
@@ -34,12 +34,25 @@
 WATCH_SECONDS = 1.0
 
 
+# What others told is passed on for a few of their messages, which repeat it as long as it holds.
+PASS_ON_SECONDS = 3 * routers.STATUS_SECONDS
+
+
 @dataclasses.dataclass
 class News:
-    """News to tell and when it was found out."""
+    """News to tell.
+
+    Attributes:
+      item: The news.
+      at: Monotonic seconds at which it was found out, or last heard of another router.
+      audiences: Who is told.
+      seconds: How long it is told.
+    """
 
     item: gossip.WeightsNews
     at: float
+    audiences: tuple[routers.Audience, ...] = tuple(routers.Audience)
+    seconds: float = NEWS_SECONDS
 
 
 class WeightsBoard:
@@ -54,6 +67,7 @@
         self.table = table
         self.clock = clock
         self.recent: dict[tuple[str, str], News] = {}
+        self.passing: dict[tuple[str, str], News] = {}
         self.lease_version = 0
         self.seen_lease = 0
         self.seen_lease_at = -1e9
@@ -61,14 +75,20 @@
         self.on_news: list[Callable[[], None]] = []
         self.on_change: list[Callable[[], None]] = []
 
-    def news(self) -> tuple[gossip.WeightsNews, ...]:
-        """Return what was found out here a moment ago."""
+    def news(self, audience: routers.Audience) -> tuple[gossip.WeightsNews, ...]:
+        """Return what an audience is to be told: what is known since a moment."""
         now = self.clock.monotonic()
-        for key in [key for key, news in self.recent.items() if now - news.at > NEWS_SECONDS]:
-            del self.recent[key]
+        for kept in (self.recent, self.passing):
+            for key in [key for key, news in kept.items() if now - news.at > news.seconds]:
+                del kept[key]
         for news in self.recent.values():
             self._apply(news.item)
-        return tuple(news.item for news in self.recent.values())
+        found = {
+            key: news.item
+            for key, news in [*self.passing.items(), *self.recent.items()]
+            if audience in news.audiences
+        }
+        return tuple(found.values())
 
     def record(self, state: endpoints.EndpointState, name: str, version: int, is_loading) -> None:
         """Note what an endpoint was found to load or to have loaded, and tell the others."""
@@ -86,10 +106,19 @@
         for listener in self.on_change:
             listener()
 
-    def take_news(self, items: tuple[gossip.WeightsNews, ...], source: str) -> None:
-        """Take in what another router found out."""
+    def take_news(self, items: tuple[gossip.WeightsNews, ...], audiences=()) -> None:
+        """Take in what another router told.
+
+        Args:
+          items: What it told.
+          audiences: Who is told in turn.
+        """
+        now = self.clock.monotonic()
         for item in items:
             self._apply(item)
+            if audiences:
+                passed = News(item, now, audiences, PASS_ON_SECONDS)
+                self.passing[(item.lifetime, item.model)] = passed
 
     def take_lease(self, router: str, version: int, now: float) -> None:
         """Note that another router holds the lease, or that it has given it back.
@@ -156,6 +185,8 @@
       held: Lease under which orders are given.
       calls: Endpoints' controls.
       meters_: Metrics.
+      is_candidate: Returns whether this router may contend for the lease, so that not all of
+        many routers read its row.
     """
 
     def __init__(
@@ -166,6 +197,7 @@
         held: lease.Lease,
         calls: orders.Orderer,
         meters_: meters.GatewayMetrics,
+        is_candidate: Callable[[], bool] = lambda: True,
     ):
         super().__init__("weights", known.clock, TICK_SECONDS)
         self.settings = config
@@ -174,6 +206,7 @@
         self.lease = held
         self.calls = calls
         self.meters = meters_
+        self.is_candidate = is_candidate
         self.followed: dict[str, gevent.Greenlet] = {}
         self.not_before: dict[str, float] = {}
         self.order_counts: dict[str, int] = {}
@@ -206,7 +239,7 @@
         if self.board.seen_lease_at > now - self.settings.bounds.lease_seconds / 2:
             self.lease.observe(self.board.seen_lease, self.board.seen_lease_at)
             return
-        if now < self.next_lease_at:
+        if now < self.next_lease_at or not (self.lease.is_held() or self.is_candidate()):
             return
         if self.maintainer is not None and not self.maintainer.ready():
             return
--- a/features/gateway_beliefs.feature
+++ b/features/gateway_beliefs.feature
@@ -47,13 +47,13 @@
 
   Scenario Outline: What two routers tell each other does not keep a third one alive
     Given routers "b" and "c" that "a" has heard
-    When "c" falls silent and "b" goes on <how>
+    When "c" falls silent and "b" exchanges lists with "a", <how>
     Then "a" names the routers <named>
 
     Examples:
-      | how                               | named |
-      | telling of "c" as it was          | a,b   |
-      | telling of "c" with newer numbers | a,b,c |
+      | how                              | named |
+      | and hears "c" no longer either   | a,b   |
+      | while it hears "c" all the time  | a,b,c |
 
   Scenario: A router that hears nobody goes on naming those that it knew
     Given routers "b" and "c" that "a" has heard
@@ -87,6 +87,7 @@
   Scenario: Messages survive encoding
     Then a status with every field filled is decoded as it was
     And rows with odd bytes are decoded as they were
+    And lists of routers and requests for them are decoded as they were
 
   Scenario Outline: Shares of the retry budget add up
     Given <routers> routers that share a budget of 0.2 a request and 52 in 10 seconds
--- a/features/gateway_platform.feature
+++ b/features/gateway_platform.feature
@@ -39,6 +39,11 @@
     Then the status is 503, and the request ran at 0 endpoints
     And the gateway is not ready
 
+  Scenario: A request that comes before the first reading of the store waits for it
+    Given a platform without a configuration
+    When a request arrives, and the operator writes the first configuration 0.3 seconds later
+    Then the status is 200 and the answer is whole
+
   Scenario: The store forgets its history
     When the store forgets its history while the operator writes configuration 2 with "/late/"
     Then the first gateway serves "/late/1" within 2 seconds
--- a/features/steps/gateway_beliefs_steps.py
+++ b/features/steps/gateway_beliefs_steps.py
@@ -168,13 +168,20 @@
         context.routers.hear(router(name, beat=5), context.now)
 
 
-@when('"{silent}" falls silent and "{other}" goes on telling of "{name}" {how}')
-def step_silent(context, silent, other, name, how):
+@when('"{silent}" falls silent and "{other}" exchanges lists with "{own}", {how}')
+def step_silent(context, silent, other, own, how):
+    ends = {own: context.routers, other: routers.RouterTable(router(other))}
+    ends[other].hear(router(silent, beat=5), context.now)
     for step in range(1, 20):
         context.now += routers.STATUS_SECONDS
-        context.routers.hear(router(other, beat=5 + step), context.now)
-        beat = 5 if how == "as it was" else 5 + step
-        context.routers.hear(router(silent, beat=beat), context.now)
+        ends[own].hear(router(other, beat=5 + step), context.now)
+        ends[other].hear(router(own, beat=5 + step), context.now)
+        if how.startswith("while it hears"):
+            ends[other].hear(router(silent, beat=5 + step), context.now)
+        lists = {n: t.roster(routers.Audience.FELLOW, context.now) for n, t in ends.items()}
+        heard = routers.ListKind.HEARD
+        ends[own].take_roster(other, lists[other], heard, context.now)
+        ends[other].take_roster(own, lists[own], heard, context.now)
 
 
 @when("all fall silent")
@@ -234,24 +241,37 @@
 def step_status(context):
     status = gossip.Status(
         router("b", beat=7),
+        "all",
         {"op": 5, "servers": 9},
-        (router("c"),),
-        (gossip.Load("lm-1", 3, 120.5),),
+        True,
+        12345,
+        (gossip.Load("lm-1", 3, 120),),
         (gossip.WeightsNews("lm-1/1", "m1", 4, True),),
-        ((b"12345678", 50, "lm-1/1", 0.25),),
-        (("lm-1/1", ("aa", "bb")),),
+        (gossip.PrefixNews(b"12345678", 50, "lm-1/1", 250),),
+        (gossip.DeathNews("lm-1/1", ("aa", "bb")),),
         17,
-        (("m1", 4, 2.5),),
+        (("m1", 4, 2500),),
         (("10.0.0.1:1", 77),),
     )
     assert gossip.decode(gossip.encode(status)) == status
 
 
+@then("lists of routers and requests for them are decoded as they were")
+def step_rosters(context):
+    messages = [
+        gossip.RosterRequest(router("b")),
+        gossip.RosterReply("b", "view", (router("c"), router("d", is_ready=False))),
+        gossip.RowsRequest("op", "10.0.0.1:1"),
+    ]
+    for message in messages:
+        assert gossip.decode(gossip.encode(message)) == message
+
+
 @then("rows with odd bytes are decoded as they were")
 def step_rows(context):
     batch = rows.Batch((rows.Row("k", 3, b"\xff\x00"), rows.Row("l", 4, b"", True)), 9, True)
-    reply = gossip.RowsReply("op", batch)
-    assert gossip.decode(gossip.encode(reply)) == reply
+    for message in (gossip.RowsReply("op", batch), gossip.RowsChange("op", 4, batch)):
+        assert gossip.decode(gossip.encode(message)) == message
 
 
 @given("{count:d} routers that share a budget of {ratio:g} a request and {slack:d} in 10 seconds")
@@ -289,14 +309,21 @@
 @then("{count:d} messages with changed bytes are decoded or rejected")
 def step_fuzz_messages(context, count):
     source = random.Random(20261204)
+    batch = rows.Batch((rows.Row("k", 3, b"v"),), 9, True)
     status = gossip.Status(
-        router("b", beat=7), {"op": 5}, (router("c"),), (gossip.Load("lm-1", 3, 1.5),)
+        router("b", beat=7), "own", {"op": 5}, loads=(gossip.Load("lm-1", 3, 1),)
     )
-    reply = gossip.RowsReply("op", rows.Batch((rows.Row("k", 3, b"v"),), 9, True))
-    samples = [gossip.encode(status), gossip.encode(reply)]
+    messages = [
+        status,
+        gossip.RowsReply("op", batch),
+        gossip.RowsChange("op", 4, batch),
+        gossip.RosterRequest(router("b")),
+        gossip.RosterReply("b", "view", (router("c"),)),
+    ]
+    samples = [gossip.encode(message) for message in messages]
     for number in range(count):
         try:
-            gossip.decode(bytes(mutate(samples[number % 2], source)))
+            gossip.decode(bytes(mutate(samples[number % len(samples)], source)))
         except gossip.GossipError:
             continue
 
--- a/features/steps/gateway_platform_steps.py
+++ b/features/steps/gateway_platform_steps.py
@@ -49,6 +49,7 @@
     gateway_support.wait_for(lambda: len(made.routers.known) == 1)
     faulty = standin_store.StandInStore()
     faulty.start()
+    context.faulty = faulty
     faulty.fault = standin_store.Fault(fault)
     context.cleanups.append(faulty.stop)
     host, _, port = faulty.address.rpartition(":")
@@ -100,7 +101,10 @@
 def step_from_peer(context, version):
     made = context.site.gateways[0]
     assert made.knowledge.configuration.version == version
-    assert made.knowledge.is_store_away() or made.knowledge.replicas["op"].version >= 0
+    assert ("op", "config") not in context.faulty.rows
+    for source in made.platform.feeds.values():
+        for client in (source.reader, source.feeder):
+            assert f"{client.settings.host}:{client.settings.port}" == context.faulty.address
 
 
 @given("the store is away")
@@ -132,6 +136,17 @@
         return error.code, error.read()
 
 
+@when(
+    "a request arrives, and the operator writes the first configuration {seconds:g} seconds later"
+)
+def step_first_configuration(context, seconds):
+    sender = gevent.spawn(context.site.send, "/status/1")
+    gevent.sleep(seconds)
+    context.site.store.put("op", "config", gateway_support.configuration())
+    context.site.add_worker("app-1", "app")
+    context.replies = [sender.get(timeout=5.0)]
+
+
 @then("the gateway is not ready")
 @then("the first gateway is not ready")
 def step_not_ready(context):
@@ -178,7 +193,7 @@
 def step_whole(context):
     reply = context.sender.get(timeout=5.0)
     assert (reply.status, reply.is_whole) == (200, True), reply
-    assert reply.head.get("connection") == "close" or reply.is_whole
+    assert reply.head.get("connection") == "close", reply.head
 
 
 @then("the directory of the second gateway names only the second router within {seconds:g} second")
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -4,7 +4,16 @@
 from behave import given, then, when
 
 from bronzemux import clock, lease, table
-from bronzemux.gateway import endpoints, knowledge, meters, model, orders, settings, weights
+from bronzemux.gateway import (
+    endpoints,
+    knowledge,
+    meters,
+    model,
+    orders,
+    routers,
+    settings,
+    weights,
+)
 from bronzemux.platform import documents
 
 MODEL = "m1"
@@ -174,7 +183,7 @@
         now = context.clock.monotonic()
         if context.lease.is_held():
             context.loading_seen.append((now, busy.is_loading(MODEL, now)))
-        context.task.board.news()
+        context.task.board.news(routers.Audience.FELLOW)
         if now >= context.ends_at:
             busy.in_flight = 0
     context.clock.advance(STEP_SECONDS)
