--- a/bronzemux/cli_gateway.py
+++ b/bronzemux/cli_gateway.py
@@ -4,6 +4,7 @@
 
 monkey.patch_all()
 
+import dataclasses
 import signal
 import sys
 
@@ -17,7 +18,12 @@
 FLAGS = flags.FLAGS
 flags.DEFINE_enum("log_level", "info", list(logs.LEVELS), "Least level that is logged.")
 
-EXIT_LEFT_REQUESTS = 1
+flags.DEFINE_string(
+    "advertised_peer_address",
+    "",
+    "Where other gateways are told to connect; the address of the settings file when empty.",
+)
+
 
 
 def main() -> None:
@@ -26,7 +32,9 @@
     stream = logs.BoundedStream(sys.stdout)
     logs.start(FLAGS.log_level, stream)
     try:
-        config = boot.load(boot.path())
+        config = dataclasses.replace(
+            boot.load(boot.path()), advertised_peer_address=FLAGS.advertised_peer_address
+        )
     except settings.errors.SettingError as error:
         settings.fail(str(error))
     stopped = gevent.event.Event()
@@ -44,7 +52,9 @@
 def on_reload(config) -> None:
     """Read the settings again; what can change without a restart is logged."""
     try:
-        found = boot.load(boot.path())
+        found = dataclasses.replace(
+            boot.load(boot.path()), advertised_peer_address=FLAGS.advertised_peer_address
+        )
     except settings.errors.SettingError as error:
         logs.event("settings_rejected", "error", cause=str(error))
         return
--- a/bronzemux/gateway/channels.py
+++ b/bronzemux/gateway/channels.py
@@ -86,6 +86,24 @@
                 del self.idle[lifetime]
 
 
+def is_reachable(address: str) -> bool:
+    """Return whether something accepts connections at an address.
+
+    A refused connection shows at once that nothing does; without an answer a second attempt tells a
+    lost packet from a VM that is gone.
+    """
+    host, _, port = address.rpartition(":")
+    for _ in range(2):
+        try:
+            socket.create_connection((host, int(port)), CONNECT_SECONDS).close()
+            return True
+        except TimeoutError:
+            continue
+        except OSError:
+            return False
+    return False
+
+
 def guard(sock: socket.socket) -> None:
     """Send small messages at once, and notice a VM that is gone without a reset."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -3,6 +3,7 @@
 from bronzemux import logs
 from bronzemux.gateway import (
     cache_index,
+    channels,
     endpoints,
     failures,
     http1,
@@ -103,11 +104,15 @@
             fetch_from=choice.fetch_from,
             save_to=choice.save_to,
             last_event_id=job.last_event_id,
+            backup_to=choice.backup.endpoint.address if choice.backup else "",
+            continues=choice.continues,
         )
-        if choice.weights is not None:
+        if choice.weights is not None and not choice.continues:
             self._expect_cache()
         data = self.parts.protocol.encode_forward(job.request, directives)
         patience = self._patience()
+        if choice.backup is not None:
+            self.channel.on_silence = self._is_worth_waiting
         job.is_sent = True
         is_sent = self.channel.send_until_answer(data, patience)
         head = self.channel.read_head()
@@ -143,12 +148,18 @@
         """
         left = self._left()
         if not self._can_repeat():
-            return left
+            return left if self.choice.backup is None else min(left, MAX_GAP_SECONDS)
         objective, expected = self.job.route.objective_seconds, self.choice.expected_seconds
         if self.job.route.kind is model.Kind.STREAM:
             return min(left, max(STREAM_PATIENCE_OBJECTIVES * objective, 3 * expected))
         return min(left, max(MIN_PATIENCE_SECONDS, PATIENCE_OBJECTIVES * objective, 2 * expected))
 
+    def _is_worth_waiting(self) -> bool:
+        """Return whether a silent endpoint that has a backup is still there."""
+        if self.job.deadline_at - self.clock.monotonic() < jobs.LEAST_SECONDS:
+            return False
+        return channels.is_reachable(self.state.endpoint.address)
+
     def _can_repeat(self) -> bool:
         """Return whether another attempt could follow if this one failed now."""
         job, now = self.job, self.clock.monotonic()
@@ -161,7 +172,7 @@
             self.state.learn_weights(self.job.request.prompt.model, answer.weights)
         self.channel.read_body(framing, MAX_ANSWER_BYTES)
         self._keep(answer, framing, is_sent)
-        if self.choice.weights is not None:
+        if self.choice.weights is not None and not self.choice.continues:
             self._forget_expected()
         cause = "misdirected" if answer.is_other_endpoint else f"rejected with {answer.status}"
         return failures.NotRun(cause, is_sent=True)
@@ -208,10 +219,11 @@
         now = self.clock.monotonic()
         self.settle_backlog()
         prompt = self.job.request.prompt
-        if prompt is not None and self.choice.weights is not None:
+        if prompt is not None and self.choice.weights is not None and not self.choice.continues:
             self.state.record_first_event(now - self.started_at, self.choice.expected_seconds)
             self._learn_weights(prompt, answer)
-        gap = MAX_GAP_SECONDS if self._can_repeat() else self._left()
+        has_other = self._can_repeat() or self.choice.backup is not None
+        gap = MAX_GAP_SECONDS if has_other else self._left()
         self.channel.sock.settimeout(min(gap, self._left()))
 
     def _left(self) -> float:
--- a/bronzemux/gateway/feed.py
+++ b/bronzemux/gateway/feed.py
@@ -10,7 +10,7 @@
 from bronzemux.gateway import rows
 
 # How often a feed that is not needed looks whether it is.
-IDLE_SECONDS = 0.25
+IDLE_SECONDS = 0.1
 # Half of the time in which a configuration must be in force, shared by read and feed.
 RETRY_SECONDS = 0.4
 
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -8,6 +8,7 @@
 from bronzemux import logs, quarantine
 from bronzemux.gateway import (
     cache_index,
+    channels,
     exchange,
     failures,
     http1,
@@ -205,8 +206,9 @@
             timer.close()
 
     def _run(self, job: jobs.Job, caller) -> str:
+        choice = None
         while True:
-            choice = self._choose(job)
+            choice = choice or self._choose(job)
             job.choice = choice
             result = self._attempt(job, choice, caller)
             if isinstance(result, failures.Delivered):
@@ -214,7 +216,8 @@
                     self.parts.quarantine.clear(self._print(job))
                 return f"{result.status}"
             self._note(job, choice, result)
-            if not self._may_repeat(job, result):
+            choice = self._continuation(job, choice, result)
+            if choice is None and not self._may_repeat(job, result):
                 return self._give_up(job, caller, result)
             self.parts.meters.retries.labels(job.service).inc()
 
@@ -240,6 +243,8 @@
         now = self.clock.monotonic()
         if job.deadline_at - now < jobs.LEAST_SECONDS:
             return False
+        if job.runs and not job.route.is_idempotent:
+            return False
         if isinstance(result, failures.NotRun):
             if job.rejections >= MAX_REJECTIONS:
                 return False
@@ -250,6 +255,30 @@
             return False
         return self._take_retry(job, now)
 
+    def _continuation(self, job: jobs.Job, choice: placement.Choice, result):
+        """Return where a run goes on from the copy of its memory, None when it cannot.
+
+        It is the same run, so it may go on whatever the route allows, but only when the endpoint
+        that began it is down: two must not work on it at the same time.
+        """
+        if not isinstance(result, failures.MayHaveRun) or result.answer is not None:
+            return None
+        backup, now = choice.backup, self.clock.monotonic()
+        if backup is None or backup.is_gone or job.deadline_at - now < jobs.LEAST_SECONDS:
+            return None
+        is_down = not channels.is_reachable(choice.state.endpoint.address)
+        has_budget = is_down and self._take_retry(job, now)
+        logs.event(
+            "run_continued" if has_budget else "run_lost",
+            id=job.request.id,
+            endpoint=choice.state.endpoint.lifetime,
+            cause=result.cause,
+            down=is_down,
+            backup=backup.endpoint.lifetime,
+            after=job.last_event_id,
+        )
+        return placement.continuation(choice) if has_budget else None
+
     def _take_retry(self, job: jobs.Job, now: float) -> bool:
         return self.parts.budget.try_retry(job.service, self.routers(), now)
 
@@ -315,6 +344,8 @@
             self._named_before(prompt.model, now - self._weights_bound()),
             self._named_before(prompt.model, now - FRESH_SECONDS),
             int(service.engine.slots * (1 + QUEUE_SHARE)),
+            # What may be sent again needs no copy, as another endpoint can begin anew.
+            job.route.kind is model.Kind.STREAM and not job.route.is_resumable,
         )
         return placement.choose_engine(states, need, place, now)
 
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -169,7 +169,7 @@
         own = gossip.Router(
             config.name,
             boot,
-            config.peer_address,
+            config.reachable_address,
             config.ingress_address,
             config.data_centre,
             False,
--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -8,7 +8,7 @@
 import dataclasses
 import re
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import gevent.select
 
@@ -193,6 +193,8 @@
     def __init__(self, sock: socket.socket):
         self.sock = sock
         self.buffer = bytearray()
+        # Asked when the timeout has passed; whether to go on waiting.
+        self.on_silence: Callable[[], bool] | None = None
 
     def fill(self) -> bool:
         """Receive some bytes into the buffer.
@@ -204,14 +206,17 @@
           EndOfStreamError: When the connection was reset.
           TimeoutError: When the timeout of the socket passed.
         """
-        try:
-            data = self.sock.recv(READ_BYTES)
-        except TimeoutError:
-            raise
-        except OSError as error:
-            raise EndOfStreamError(f"connection lost: {error}", is_reset=True) from error
-        self.buffer += data
-        return bool(data)
+        while True:
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except TimeoutError:
+                if self.on_silence is not None and self.on_silence():
+                    continue
+                raise
+            except OSError as error:
+                raise EndOfStreamError(f"connection lost: {error}", is_reset=True) from error
+            self.buffer += data
+            return bool(data)
 
     def read_head(self, limit: int = MAX_HEAD_BYTES) -> Head | None:
         """Return the next head, None when the stream ended before it began.
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -151,7 +151,7 @@
         Relays do; the others get the rows from them, as long as one is heard that follows it.
         """
         now = self.clock.monotonic()
-        has_others = any(seed != self.settings.peer_address for seed in self.settings.seeds)
+        has_others = any(seed != self.settings.reachable_address for seed in self.settings.seeds)
         if not has_others and not self.table.known:
             return True
         age = now - self.started_at
@@ -204,7 +204,7 @@
         if not self.table.direct(now) or now - self.started_at < RELAY_SECONDS:
             for seed in self.settings.seeds:
                 targets.setdefault(seed, routers.Audience.FELLOW)
-        targets.pop(self.settings.peer_address, None)
+        targets.pop(self.settings.reachable_address, None)
         self._close_idle(targets, now)
         router = self.table.next_beat()
         for audience in routers.Audience:
@@ -389,7 +389,7 @@
             if (is_due or replica.version < 0) and now - gap.asked_at >= REPEAT_SECONDS:
                 gap.asked_at = now
                 self._answer(
-                    message.router, gossip.RowsRequest(name, self.settings.peer_address), now
+                    message.router, gossip.RowsRequest(name, self.settings.reachable_address), now
                 )
 
     @handle.register
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -48,6 +48,8 @@
       read_tokens: Prompt tokens that are to be read.
       cached_tokens: Prompt tokens that are believed to be cached there.
       considered: Endpoints that could have got it.
+      backup: Endpoint that gets a copy of the run's memory, None for none.
+      continues: Whether the run goes on from the copy that the endpoint has.
     """
 
     state: endpoints.EndpointState
@@ -59,6 +61,8 @@
     read_tokens: float = 0.0
     cached_tokens: int = 0
     considered: int = 0
+    backup: endpoints.EndpointState | None = None
+    continues: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,6 +114,7 @@
       least_weights: Oldest version of the weights on which it may still begin.
       fresh_weights: Version that the operator has asked for so long that older ones cost.
       capacity: Requests that one endpoint takes.
+      is_backed_up: Whether another endpoint is to get a copy of the run's memory.
     """
 
     prompt: model.Prompt
@@ -118,6 +123,7 @@
     least_weights: int
     fresh_weights: int
     capacity: int
+    is_backed_up: bool = False
 
 
 def choose_engine(states, need: Need, place: Place, now: float) -> Choice | None:
@@ -146,7 +152,25 @@
     if not choices:
         return None
     best = min(choices, key=lambda pair: pair[0])[1]
-    return dataclasses.replace(best, considered=len(choices))
+    backup = _backup(ready, best, name, now) if need.is_backed_up else None
+    return dataclasses.replace(best, considered=len(choices), backup=backup)
+
+
+def _backup(ready, best: Choice, name: str, now: float) -> endpoints.EndpointState | None:
+    """Return the least loaded other endpoint with the same weights, near the first by choice."""
+    others = [s for s in ready if s is not best.state and s.weights[name] == best.weights]
+
+    def cost(state: endpoints.EndpointState) -> tuple[float, bool, str]:
+        is_remote = state.endpoint.data_centre != best.state.endpoint.data_centre
+        return (round(state.failure_level(now)), is_remote, state.load(now), state.endpoint.id)
+
+    return min(others, key=cost, default=None)
+
+
+def continuation(choice: Choice) -> Choice:
+    """Return the choice that goes on with a run at the endpoint that has a copy of it."""
+    tokens = choice.cached_tokens + int(choice.read_tokens)
+    return Choice(choice.backup, choice.weights, choice.salt, cached_tokens=tokens, continues=True)
 
 
 def _version_choices(states, weights: int, need: Need, place: Place, now: float):
--- a/bronzemux/gateway/settings.py
+++ b/bronzemux/gateway/settings.py
@@ -41,7 +41,9 @@
       ingress_address: Where callers connect.
       ready_address: Where readiness is asked for.
       directory_address: Where callers ask which router to use.
-      peer_address: Where other routers connect.
+      peer_address: Where this router accepts other routers.
+      advertised_peer_address: Where they are told to connect, empty for `peer_address`; another
+        one behind a translation of addresses.
       metrics_port: Port of the metrics, 0 for none.
       seeds: Peer addresses of a few routers; they may be gone.
       store_address: The platform's store.
@@ -65,3 +67,9 @@
     descriptors: int = 1024
     processor: float = 1.0
     bounds: Bounds = Bounds()
+    advertised_peer_address: str = ""
+
+    @property
+    def reachable_address(self) -> str:
+        """Return where other routers connect."""
+        return self.advertised_peer_address or self.peer_address
--- a/bronzemux/platform/headers.py
+++ b/bronzemux/platform/headers.py
@@ -76,6 +76,8 @@
             ("Cache-Salt", directives.cache_salt or None),
             ("Kv-Fetch-From", directives.fetch_from or None),
             ("Kv-Save-To", directives.save_to or None),
+            ("Kv-Backup", directives.backup_to or None),
+            ("Kv-From", _backup_handle(request, directives)),
         )
         fields.extend((name, str(value)) for name, value in optional if value is not None)
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
@@ -130,6 +132,13 @@
         return http1.encode_head(f"HTTP/1.1 {status} {reason}", fields) + body
 
 
+def _backup_handle(request: model.Request, directives: model.Directives) -> str | None:
+    """Return the name of a run's copy: the holder's address and the request's id."""
+    if not directives.continues:
+        return None
+    return f"{directives.endpoint.address}/{request.id}"
+
+
 def _forwarded(head: http1.Head) -> tuple[tuple[str, str], ...]:
     listed = {
         token.strip().lower() for value in head.all("connection") for token in value.split(",")
--- a/bronzemux/platform/standin_worker.py
+++ b/bronzemux/platform/standin_worker.py
@@ -12,6 +12,9 @@
 from bronzemux.gateway import http1
 
 EVENTS = 6
+# Copies of runs' memory that endpoints of this process sent each other: holder's address and
+# request's id.
+COPIES: set[tuple[str, str]] = set()
 
 
 class Fault(enum.Enum):
@@ -31,6 +34,9 @@
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
     CUT_STREAM = "cut-stream"
+    CRASH_STREAM = "crash-stream"
+    FREEZE_STREAM = "freeze-stream"
+    LOSE_COPIES = "lose-copies"
 
 
 @dataclasses.dataclass
@@ -131,10 +137,22 @@
             return _send(channel, 421, b"", [("Instance-Id", self.identity)])
         if self.fault is Fault.SHED or self.is_loading:
             return _send(channel, 503, b"", [("Not-Executed", "1")])
+        copy = fields.get("kv-from")
+        if copy is not None and not self._take_copy(copy):
+            return _send(channel, 503, b"", [("Not-Executed", "1")])
+        if "kv-backup" in fields:
+            COPIES.add((fields["kv-backup"], fields["request-id"]))
         if self.fault is Fault.RESET:
             return _reset(channel)
         return self._run(channel, Seen(method, target, fields, body))
 
+    def _take_copy(self, handle: str) -> bool:
+        """Use up the copy that a handle names; return whether it is there."""
+        address, _, request_id = handle.partition("/")
+        is_here = address == self.address and (address, request_id) in COPIES
+        COPIES.discard((address, request_id))
+        return is_here and self.fault is not Fault.LOSE_COPIES
+
     def _run(self, channel, seen: Seen) -> bool:
         self.ran.append(seen)
         gevent.sleep(self.seconds)
@@ -191,6 +209,12 @@
                 channel.send(http1.encode_chunk(event[:7]))
                 gevent.sleep(0.02)
                 return _reset(channel)
+            if self.fault is Fault.CRASH_STREAM and number == first + 2:
+                self.stop()
+                return _reset(channel)
+            if self.fault is Fault.FREEZE_STREAM and number == first + 2:
+                self.stop()
+                gevent.sleep(30.0)
             if not channel.is_quiet():
                 seen.is_cancelled = True
                 return False
--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -97,6 +97,30 @@
     When the request "POST /draft/1" is sent
     Then the caller got the events 1 to 2 in order and an answer that is not whole
 
+  Scenario Outline: A stream that may not be begun anew goes on from the copy of its memory
+    Given the endpoint "lm-1" has the fault "<fault>"
+    When the request "POST /draft/1" is sent until "lm-1" ran one
+    Then the caller got the events 1 to 6 in order and an answer that is whole
+    And it ran on one request id, the second time from the first run's copy after event 2
+
+    Examples: The endpoint is down, and refuses connections
+      | fault         |
+      | crash-stream  |
+      | freeze-stream |
+
+  Scenario: A stream whose endpoint lives is not gone on with elsewhere, as it may still run
+    Given the endpoint "lm-1" has the fault "cut-stream"
+    When the request "POST /draft/1" is sent until "lm-1" ran one
+    Then the caller got the events 1 to 2 in order and an answer that is not whole
+    And "lm-2" ran no request that "lm-1" ran
+
+  Scenario: A stream without a copy is not begun anew
+    Given the endpoint "lm-1" has the fault "crash-stream"
+    And the endpoint "lm-2" has the fault "lose-copies"
+    When the request "POST /draft/1" is sent until "lm-1" ran one
+    Then the caller got the events 1 to 2 in order and an answer that is not whole
+    And "lm-2" ran no request that "lm-1" ran
+
   Scenario: A stream goes on where the caller asks
     When the request "POST /classify/1" is sent with the fields
       | name          | value |
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -131,6 +131,25 @@
     assert reply.is_whole == (state == "whole"), reply
 
 
+@then("it ran on one request id, the second time from the first run's copy after event {after:d}")
+def step_continued(context, after):
+    (first,) = context.site.workers["lm-1"].ran
+    backup = context.site.workers["lm-2"]
+    second = backup.ran[-1]
+    request_id = first.fields["request-id"]
+    assert second.fields["request-id"] == request_id
+    assert first.fields["kv-backup"] == backup.address
+    assert second.fields["kv-from"] == f"{backup.address}/{request_id}"
+    assert second.fields["last-event-id"] == str(after)
+    assert "kv-from" not in first.fields and "kv-backup" not in second.fields
+
+
+@then('"{second}" ran no request that "{first}" ran')
+def step_not_continued(context, second, first):
+    ran = [{s.fields["request-id"] for s in context.site.workers[n].ran} for n in (first, second)]
+    assert ran[0] and not ran[0] & ran[1], ran
+
+
 @when('the request "{method} {path}" is sent and leaves after the first event')
 def step_leave(context, method, path):
     with context.site.connect() as sock:
--- a/features/steps/gateway_relays_steps.py
+++ b/features/steps/gateway_relays_steps.py
@@ -24,9 +24,8 @@
     context.fleet.store.put(1)
 
 
-@when("{seconds:g} seconds pass")
-@when("{seconds:g} second passes")
-@given("{seconds:g} seconds have passed")
+@when("the routers run for {seconds:g} seconds")
+@given("the routers run for {seconds:g} seconds")
 def step_pass(context, seconds):
     fleet = context.fleet
     fleet.readers()
@@ -65,7 +64,7 @@
     assert context.fleet.readers() == strong(context.fleet)
 
 
-@when("configuration {version:d} is written")
+@when("configuration {version:d} is written for the routers")
 def step_write(context, version):
     context.fleet.store.put(version)
 
@@ -95,8 +94,7 @@
     return phrases[who]
 
 
-@when("{who} die")
-@when("{who} dies")
+@when("of the routers, {who} die")
 def step_die(context, who):
     context.gone = chosen(context.fleet, who)
     context.fleet.down |= set(context.gone)
@@ -122,7 +120,7 @@
             assert holders > len(living) / 2, (name, holders, fleet.clock.monotonic())
 
 
-@when("{who} is cut off from the others for {seconds:g} seconds")
+@when("of the routers, {who} is cut off from the others for {seconds:g} seconds")
 def step_cut(context, who, seconds):
     fleet = context.fleet
     inside = set(chosen(fleet, who))
@@ -139,17 +137,17 @@
     context.fleet.cut_from_store = relays(context.fleet)
 
 
-@when("it starts again")
+@when("the router starts again")
 def step_again(context):
     context.fleet.start(context.gone[0])
 
 
-@then("it has the configuration in force")
+@then("the router has the configuration in force")
 def step_has(context):
     assert context.fleet.versions()[context.gone[0]] == 1
 
 
-@then("it has not followed the store")
+@then("the router has not followed the store")
 def step_not_followed(context):
     assert context.gone[0] not in context.fleet.readers()
 
@@ -193,7 +191,7 @@
     finder.board.record(finder.endpoints.states["lm-1"], "m1", 2, is_loading=False)
 
 
-@then("all routers know it")
+@then("all routers know of both")
 def step_known(context):
     for name, made in context.fleet.gateways.items():
         assert made.parts.index.holds(LIFETIME, KEY), name
