Probe endpoints that accept no connections, and tell all routers of them and of failures

Relays sent a message to all of their data centre for each piece of news.

Change: a failed connection is told to all; everyone keeps requests away and probes until the endpoint is back or its entry is gone. Attempts that hear nothing from an endpoint that is down end and go on elsewhere. Loads carry recent failures, so that one router's failures keep the others away. News waits up to 0.1 s for more of it; routers that callers are not told to use hear it with the next regular message.

Tests: features/gateway_reachability.feature, without a network.

--- a/bronzemux/cli_gateway.py
+++ b/bronzemux/cli_gateway.py
@@ -25,7 +25,6 @@
 )
 
 
-
 def main() -> None:
     """Serve until SIGTERM or SIGINT."""
     settings.parse(sys.argv)
--- a/bronzemux/gateway/channels.py
+++ b/bronzemux/gateway/channels.py
@@ -86,22 +86,19 @@
                 del self.idle[lifetime]
 
 
-def is_reachable(address: str) -> bool:
-    """Return whether something accepts connections at an address.
-
-    A refused connection shows at once that nothing does; without an answer a second attempt tells a
-    lost packet from a VM that is gone.
-    """
+def accepts(address: str) -> bool:
+    """Return whether an address accepts a connection."""
     host, _, port = address.rpartition(":")
-    for _ in range(2):
-        try:
-            socket.create_connection((host, int(port)), CONNECT_SECONDS).close()
-            return True
-        except TimeoutError:
-            continue
-        except OSError:
-            return False
-    return False
+    try:
+        socket.create_connection((host, int(port)), CONNECT_SECONDS).close()
+    except OSError:
+        return False
+    return True
+
+
+def is_reachable(address: str) -> bool:
+    """Return whether an address accepts one of two connections: one packet may be lost."""
+    return accepts(address) or accepts(address)
 
 
 def guard(sock: socket.socket) -> None:
--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -10,10 +10,6 @@
 
 # Weight of the newest answer in moving averages: about the last ten answers count.
 AVERAGE_WEIGHT = 0.2
-# First pause after a failed connection; doubles up to the time in which an entry lapses.
-SUSPEND_SECONDS = 0.25
-# Three heartbeats of an endpoint, after which its entry lapses.
-MAX_SUSPEND_SECONDS = 4.0
 # Failures fade with this half-life, so that an endpoint that was mended gets work again.
 FAILURE_HALF_LIFE_SECONDS = 3.0
 # An order that was not heard of for this long no longer keeps requests away: a few status
@@ -36,6 +32,21 @@
     is_remote: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class PeerLoad:
+    """What other gateways do at an endpoint, and how it treats them.
+
+    Attributes:
+      requests: Their requests there.
+      tokens: Prompt tokens that are still to be read for them.
+      failures: Their recent failures there, fading.
+    """
+
+    requests: int = 0
+    tokens: float = 0.0
+    failures: float = 0.0
+
+
 # All routers together, this one included.
 TOTAL = Source("")
 
@@ -66,11 +77,14 @@
       failures: Recent failures, fading.
       failed_at: Monotonic seconds of the last failure.
       suspended_until: Monotonic seconds until which it gets no request.
-      suspensions: Failed connections in series.
+      is_suspected: Whether it is being probed, and gets no request meanwhile.
+      is_down: Whether it accepts no connections and has sent nothing for a while.
+      heard_at: Monotonic seconds at which it last sent anything.
+      attempts: Attempts under way there, each with a method `end_silent`.
       weights: Newest known version by model.
       loading: Orders under way by model.
-      peer_loads: Requests, tokens and time of the report by source.
-      reported: Requests and tokens that this gateway last told its relays.
+      peer_loads: Loads of others and the time of their report, by source.
+      reported: What this gateway last told its relays.
     """
 
     endpoint: model.Endpoint
@@ -81,11 +95,14 @@
     failures: float = 0.0
     failed_at: float = 0.0
     suspended_until: float = 0.0
-    suspensions: int = 0
+    is_suspected: bool = False
+    is_down: bool = False
+    heard_at: float = -1e9
+    attempts: set = dataclasses.field(default_factory=set)
     weights: dict[str, int] = dataclasses.field(default_factory=dict)
     loading: dict[str, Loading] = dataclasses.field(default_factory=dict)
-    peer_loads: dict[Source, tuple[int, float, float]] = dataclasses.field(default_factory=dict)
-    reported: tuple[int, float] = (0, 0.0)
+    peer_loads: dict[Source, tuple[PeerLoad, float]] = dataclasses.field(default_factory=dict)
+    reported: PeerLoad = PeerLoad()
     is_gone: bool = False
 
     def update(self, endpoint: model.Endpoint) -> None:
@@ -109,59 +126,75 @@
             return False
         return order is not None
 
+    def own_load(self, now: float) -> PeerLoad:
+        """Return what this gateway does there."""
+        return PeerLoad(self.in_flight, self.backlog_tokens, self._own_failures(now))
+
     def load(self, now: float) -> tuple[int, float]:
         """Return requests and prompt tokens of all gateways there."""
+        others = self._others(now)
+        return self.in_flight + others.requests, self.backlog_tokens + others.tokens
+
+    def near_load(self, now: float) -> PeerLoad:
+        """Return what the gateways of this data centre do there."""
+        return _sum([self.own_load(now), *self._fresh(now, has_remote=False)])
+
+    def whole_load(self, now: float) -> PeerLoad:
+        """Return what all gateways do there."""
+        return _sum([self.own_load(now), *self._fresh(now, has_remote=True)])
+
+    def _others(self, now: float) -> PeerLoad:
+        """Return what the other gateways do there."""
         total = self.peer_loads.get(TOTAL)
-        if total is not None and now - total[2] < PEER_LOAD_SECONDS:
-            requests, tokens = self.reported
-            count = self.in_flight + max(0, total[0] - requests)
-            return count, self.backlog_tokens + max(0.0, total[1] - tokens)
-        return self._sum(now, has_remote=True)
-
-    def near_load(self, now: float) -> tuple[int, float]:
-        """Return requests and prompt tokens of the gateways of this data centre there."""
-        return self._sum(now, has_remote=False)
-
-    def _sum(self, now: float, has_remote: bool) -> tuple[int, float]:
-        count, tokens = self.in_flight, self.backlog_tokens
-        for source, (requests, backlog, at) in self.peer_loads.items():
-            if source is TOTAL or (source.is_remote and not has_remote):
-                continue
-            if now - at < PEER_LOAD_SECONDS:
-                count += requests
-                tokens += backlog
-        return count, tokens
+        if total is None or now - total[1] >= PEER_LOAD_SECONDS:
+            return _sum(self._fresh(now, has_remote=True))
+        found, own = total[0], self.reported
+        return PeerLoad(
+            max(0, found.requests - own.requests),
+            max(0.0, found.tokens - own.tokens),
+            max(0.0, found.failures - own.failures),
+        )
+
+    def _fresh(self, now: float, has_remote: bool) -> list[PeerLoad]:
+        return [
+            load
+            for source, (load, at) in self.peer_loads.items()
+            if source is not TOTAL
+            and (has_remote or not source.is_remote)
+            and now - at < PEER_LOAD_SECONDS
+        ]
+
+    def _own_failures(self, now: float) -> float:
+        return self.failures * 0.5 ** ((now - self.failed_at) / FAILURE_HALF_LIFE_SECONDS)
 
     def failure_level(self, now: float) -> float:
-        """Return the faded number of recent failures."""
-        return self.failures * 0.5 ** ((now - self.failed_at) / FAILURE_HALF_LIFE_SECONDS)
+        """Return the faded number of recent failures that any gateway met there."""
+        return self._own_failures(now) + self._others(now).failures
 
     def record_failure(self, now: float) -> None:
         """Count a failed answer."""
-        self.failures = self.failure_level(now) + 1.0
+        self.failures = self._own_failures(now) + 1.0
         self.failed_at = now
 
-    def record_unreachable(self, now: float) -> float:
-        """Suspend it after a failed connection; return for how many seconds."""
-        pause = min(MAX_SUSPEND_SECONDS, SUSPEND_SECONDS * 2**self.suspensions)
-        self.suspensions += 1
-        self.suspended_until = now + pause
-        self.record_failure(now)
-        return pause
-
     def record_answer(self, seconds: float) -> None:
         """Count a whole answer of a plain service."""
-        self.suspensions = 0
         known = seconds if self.latency is None else self.latency
         self.latency = known + AVERAGE_WEIGHT * (seconds - known)
 
     def record_first_event(self, seconds: float, expected: float) -> None:
         """Count the first event of a stream against what was expected."""
-        self.suspensions = 0
         ratio = min(8.0, max(0.25, seconds / max(expected, 0.01)))
         self.slowness += AVERAGE_WEIGHT * (ratio - self.slowness)
 
 
+def _sum(loads: list[PeerLoad]) -> PeerLoad:
+    return PeerLoad(
+        sum(load.requests for load in loads),
+        sum(load.tokens for load in loads),
+        sum(load.failures for load in loads),
+    )
+
+
 class EndpointTable:
     """All endpoints that one gateway knows."""
 
@@ -207,4 +240,8 @@
 
     def usable(self, service: str, now: float) -> list[EndpointState]:
         """Return the endpoints of a service that may get a request now."""
-        return [state for state in self.of_service(service) if state.suspended_until <= now]
+        return [
+            state
+            for state in self.of_service(service)
+            if state.suspended_until <= now and not state.is_suspected
+        ]
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -1,6 +1,5 @@
 """One attempt at one endpoint: what is sent, what comes back, and how it ended."""
 
-from bronzemux import logs
 from bronzemux.gateway import (
     cache_index,
     channels,
@@ -64,16 +63,9 @@
         try:
             self.channel = self._connect()
         except OSError as error:
-            pause = self.state.record_unreachable(self.clock.monotonic())
-            logs.event(
-                "endpoint_unreachable",
-                "warning",
-                id=self.state.endpoint.id,
-                address=self.state.endpoint.address,
-                cause=str(error),
-                pause=pause,
-            )
+            self.parts.reachability.report(self.state, str(error))
             return failures.NotRun("unreachable", is_sent=False)
+        self.state.attempts.add(self)
         try:
             return self._exchange()
         except TimeoutError:
@@ -83,9 +75,15 @@
         except http1.FramingError:
             return failures.MayHaveRun("garbled")
         finally:
+            self.state.attempts.discard(self)
             if not self.kept:
                 self.channel.close()
 
+    def end_silent(self) -> None:
+        """End the attempt as its endpoint is down, if the request can go on elsewhere."""
+        if self._can_repeat() or self.choice.backup is not None:
+            self.channel.shut()
+
     def _connect(self) -> http1.Channel:
         channel = None
         if self.job.route.is_idempotent:
@@ -120,6 +118,7 @@
             head = self.channel.read_head()
         if head is None:
             return failures.MayHaveRun("lost", is_crash=True)
+        self.state.heard_at = self.clock.monotonic()
         framing = http1.response_framing(head, job.request.method)
         answer = self.parts.protocol.decode_answer(head)
         if answer.request_id not in (None, job.request.id):
@@ -202,6 +201,7 @@
         buffer = sse.EventBuffer()
         has_first = False
         for piece in self.channel.pieces(framing):
+            self.state.heard_at = self.clock.monotonic()
             events = buffer.feed(piece)
             if events and not has_first:
                 has_first = True
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -266,7 +266,8 @@
         backup, now = choice.backup, self.clock.monotonic()
         if backup is None or backup.is_gone or job.deadline_at - now < jobs.LEAST_SECONDS:
             return None
-        is_down = not channels.is_reachable(choice.state.endpoint.address)
+        address = choice.state.endpoint.address
+        is_down = choice.state.is_down or not channels.is_reachable(address)
         has_budget = is_down and self._take_retry(job, now)
         logs.event(
             "run_continued" if has_budget else "run_lost",
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -23,6 +23,7 @@
     model,
     orders,
     peering,
+    reachability,
     routers,
     rows,
     settings,
@@ -178,14 +179,16 @@
         self.routers = routers.RouterTable(own)
         self.endpoints = endpoints.EndpointTable()
         self.knowledge = knowledge.Knowledge(platform.documents, clock, self.endpoints)
+        room = waiting.WaitingRoom()
         parts = jobs.Parts(
             config,
             clock,
             platform.protocol,
             self.knowledge,
             channels.ChannelPool(clock),
+            reachability.Reachability(clock, room.wake),
             budget.ServiceBudget(config.bounds),
-            waiting.WaitingRoom(),
+            room,
             quarantine.Quarantine(DEATHS_TO_QUARANTINE),
             cache_index.CacheIndex(),
             self.meters,
@@ -208,7 +211,7 @@
             self._lease(boot),
             platform.calls,
             self.meters,
-            self.peering.is_alone_or_relay,
+            self.peering.must_follow_store,
         )
 
     def _lease(self, boot: int) -> lease.Lease:
@@ -315,9 +318,8 @@
         """Drop what has expired and set the gauges."""
         self.knowledge.expire()
         self.parts.pool.prune()
-        now = self.clock.monotonic()
         for state in self.endpoints.states.values():
-            if state.suspended_until > now and self.forwarder.lost:
+            if state.is_suspected and self.forwarder.lost:
                 self.forwarder.confirm_death(state.endpoint.lifetime)
         self.forwarder.forget_losses()
         config = self.knowledge.configuration
--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -45,11 +45,13 @@
       endpoint: Identity of the endpoint.
       requests: Requests that run or wait there.
       tokens: Prompt tokens that are still to be read.
+      failures: Hundredths of recent failures there, fading.
     """
 
     endpoint: str
     requests: int
     tokens: int
+    failures: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,6 +121,7 @@
       lease: Version of the lease's row when the sender holds it, 0 otherwise.
       targets: Model, version and milliseconds for which the operator has named it.
       stores: Address and epoch of cache stores.
+      suspects: Lifetimes of endpoints that accept no connections.
     """
 
     router: Router
@@ -133,6 +136,7 @@
     lease: int = 0
     targets: tuple[tuple[str, int, int], ...] = ()
     stores: tuple[tuple[str, int], ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -272,14 +276,15 @@
         lease,
         targets,
         stores,
-    ) = _sized(values, 12)
+        suspects,
+    ) = _sized(values, 13)
     return Status(
         router=_router(router),
         scope=_one_of(SCOPES, scope),
         versions={_typed(name, str): _typed(v, int) for name, v in versions.items()},
         is_following=_typed(is_following, bool),
         roster=_typed(roster, int),
-        loads=_entries(Load, loads, str, int, int),
+        loads=_entries(Load, loads, str, int, int, int),
         weights=_entries(WeightsNews, weights, str, str, int, bool),
         prefixes=_entries(PrefixNews, prefixes, bytes, int, str, int),
         deaths=tuple(
@@ -289,6 +294,7 @@
         lease=_typed(lease, int),
         targets=tuple((_typed(m, str), _typed(v, int), _typed(age, int)) for m, v, age in targets),
         stores=tuple((_typed(address, str), _typed(epoch, int)) for address, epoch in stores),
+        suspects=tuple(_typed(lifetime, str) for lifetime in suspects),
     )
 
 
--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -364,6 +364,13 @@
         """
         return not self.buffer and self.sock.fileno() >= 0 and http_client.is_quiet(self.sock)
 
+    def shut(self) -> None:
+        """End the connection for the greenlet that reads it."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     def close(self) -> None:
         """Close the socket."""
         self.sock.close()
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -12,6 +12,7 @@
     meters,
     model,
     placement,
+    reachability,
     settings,
     waiting,
 )
@@ -80,6 +81,7 @@
     protocol: model.Protocol
     knowledge: knowledge.Knowledge
     pool: channels.ChannelPool
+    reachability: reachability.Reachability
     budget: budget.ServiceBudget
     room: waiting.WaitingRoom
     quarantine: quarantine.Quarantine
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -9,6 +9,7 @@
 from bronzemux.gateway import (
     cache_index,
     cache_watch,
+    endpoints,
     forwarder,
     gossip,
     knowledge,
@@ -25,6 +26,9 @@
 BEHIND_SECONDS = 0.3
 # Two status messages without what was asked for.
 REPEAT_SECONDS = 0.5
+# News waits at most this long for more of it: a message to many routers costs a relay as much
+# processor time as a request.
+PACE_SECONDS = 0.1
 # A router that is not told regularly hears this often that its messages arrive, so that it can ask
 # for the list of routers and find its relays.
 ANSWER_SECONDS = 0.5
@@ -94,6 +98,7 @@
         self.behind: dict[str, Behind] = {}
         self.prefixes = relaying.Outbox()
         self.deaths = relaying.Outbox()
+        self.suspects = relaying.Outbox()
         self.asked_at: dict[str, float] = {}
         self.answered_at: dict[str, float] = {}
         self.following_heard_at = -1e9
@@ -103,10 +108,13 @@
         self.known_names: frozenset[str] = frozenset()
         self.was_relay: bool | None = None
         served.on_deaths = self._on_deaths
+        self.announced_at = -1e9
+        self.next_regular = -1e9
         self.is_announcing = False
         board.on_news.append(self.announce_soon)
         served.parts.index.on_news.append(self.announce_soon)
         self.knowledge.on_rows.append(self._on_rows)
+        self.parts.reachability.on_suspect.append(self._on_suspect)
 
     def run(self) -> None:
         """Accept connections, send status and handle messages."""
@@ -122,7 +130,7 @@
             self.peers.clear()
 
     def announce_soon(self) -> None:
-        """Tell the neighbours before the next tick; news of one moment goes in one message."""
+        """Tell others before the next regular message; news of one moment goes in one message."""
         if not self.is_announcing:
             self.is_announcing = True
             self.send(Announce())
@@ -140,15 +148,11 @@
         before = sum(router.name < self.table.own.name for router in direct)
         return before < cache_watch.MAX_WATCHERS
 
-    def is_alone_or_relay(self) -> bool:
-        """Return whether this router contends for leases: a relay, or one that hears nobody."""
-        now = self.clock.monotonic()
-        return self.table.is_relay(now) or not self.table.alive(now)
-
     def must_follow_store(self) -> bool:
-        """Return whether this router has to follow the store itself.
+        """Return whether this router has to use the store itself: its rows, and leases.
 
-        Relays do; the others get the rows from them, as long as one is heard that follows it.
+        Relays do; the others get the rows from them, as long as one is heard that follows it. Of
+        routers that start together and do not know yet how many they are, the strongest begin.
         """
         now = self.clock.monotonic()
         has_others = any(seed != self.settings.reachable_address for seed in self.settings.seeds)
@@ -157,13 +161,17 @@
         age = now - self.started_at
         if age < START_SECONDS:
             return False
-        if self.table.is_relay(now):
+        if self.table.is_relay(now) and (age >= RELAY_SECONDS or self.table.is_strongest(now)):
             return True
         return age >= RELAY_SECONDS and now - self.following_heard_at > RELAY_SECONDS
 
     def _on_deaths(self, lifetime: str, prints: list[str]) -> None:
         self.deaths.add(gossip.DeathNews(lifetime, tuple(prints)))
 
+    def _on_suspect(self, state: endpoints.EndpointState) -> None:
+        self.suspects.add(state.endpoint.lifetime)
+        self.announce_soon()
+
     def _on_rows(self, change: knowledge.RowsChanged) -> None:
         """Tell the routers of this data centre what changed, if this router is their relay."""
         now = self.clock.monotonic()
@@ -179,9 +187,13 @@
     def tick(self) -> None:
         """Tell the neighbours what is believed here."""
         now = self.clock.monotonic()
-        self.table.forget_silent(now)
-        self._note_members(now)
-        self._announce()
+        is_regular = now >= self.next_regular
+        if is_regular:
+            self.next_regular = now + routers.STATUS_SECONDS
+            self.table.forget_silent(now)
+            self._note_members(now)
+        self.next_tick = self.next_regular
+        self._announce(now, is_regular)
 
     def _note_members(self, now: float) -> None:
         self.table.alive(now)
@@ -198,14 +210,19 @@
             )
             self.known_names, self.was_relay = names, is_relay
 
-    def _announce(self) -> None:
-        now = self.clock.monotonic()
-        targets = {r.peer_address: self.table.audience(r, now) for r in self.table.targets(now)}
-        if not self.table.direct(now) or now - self.started_at < RELAY_SECONDS:
-            for seed in self.settings.seeds:
-                targets.setdefault(seed, routers.Audience.FELLOW)
-        targets.pop(self.settings.reachable_address, None)
-        self._close_idle(targets, now)
+    def _announce(self, now: float, is_regular: bool) -> None:
+        """Send status messages.
+
+        Args:
+          now: Monotonic seconds.
+          is_regular: Whether all that hear this router get one; otherwise those that few callers
+            use wait for the next.
+        """
+        self.announced_at = now
+        self.is_announcing = False
+        targets = self._audiences(now, is_regular)
+        if is_regular:
+            self._close_idle(targets, now)
         router = self.table.next_beat()
         for audience in routers.Audience:
             addresses = [address for address, found in targets.items() if found is audience]
@@ -215,6 +232,18 @@
             for address in addresses:
                 self._send(address, message)
 
+    def _audiences(self, now: float, is_regular: bool) -> dict[str, routers.Audience]:
+        """Return what each router that gets a status message is, by its address."""
+        targets = {r.peer_address: self.table.audience(r, now) for r in self.table.targets(now)}
+        if not is_regular:
+            reserve = routers.Audience.RESERVE
+            targets = {address: found for address, found in targets.items() if found != reserve}
+        if not self.table.direct(now) or now - self.started_at < RELAY_SECONDS:
+            for seed in self.settings.seeds:
+                targets.setdefault(seed, routers.Audience.FELLOW)
+        targets.pop(self.settings.reachable_address, None)
+        return targets
+
     def _close_idle(self, targets, now: float) -> None:
         """Close connections to routers that get neither status messages nor answers."""
         answered = {a for a, at in self.answered_at.items() if now - at < routers.SILENT_SECONDS}
@@ -253,6 +282,7 @@
             weights=self.board.news(audience),
             prefixes=self.prefixes.take(audience),
             deaths=self.deaths.take(audience),
+            suspects=self.suspects.take(audience),
             lease=self.board.lease_version,
             targets=tuple(
                 (model_name, version, int((now - at) * 1000))
@@ -271,8 +301,8 @@
 
     @handle.register
     def _announce_now(self, message: Announce) -> None:
-        self.is_announcing = False
-        self._announce()
+        now = self.clock.monotonic()
+        self.next_tick = min(self.next_tick, max(now, self.announced_at + PACE_SECONDS))
 
     @handle.register
     def _frame(self, message: Frame) -> None:
@@ -308,7 +338,12 @@
                 item.lifetime, item.lifetime, list(item.fingerprints), now
             )
             self.deaths.add(item, audiences)
-        if audiences and (message.prefixes or message.deaths):
+        for lifetime in message.suspects:
+            state = self.knowledge.endpoints.states.get(lifetime.rpartition("/")[0])
+            if state is not None and state.endpoint.lifetime == lifetime:
+                self.parts.reachability.suspect(state)
+            self.suspects.add(lifetime, audiences)
+        if audiences and (message.prefixes or message.deaths or message.suspects):
             self.announce_soon()
         if message.stores and not self.is_cache_watcher():
             for address, epoch in message.stores:
@@ -350,7 +385,7 @@
         audience, kind = routers.Audience.LOCAL, routers.ListKind.HINT
         if self._is_target(message.router, now):
             audience = self.table.audience(message.router, now)
-            is_local = audience is routers.Audience.LOCAL
+            is_local = self.table.is_relayed_to(message.router, now)
             kind = routers.ListKind.VIEW if is_local else routers.ListKind.HEARD
         found = tuple(self.table.roster(audience, now))
         reply = gossip.RosterReply(self.table.own.name, kind.value, found)
--- a/bronzemux/gateway/relaying.py
+++ b/bronzemux/gateway/relaying.py
@@ -32,12 +32,13 @@
     routers.Audience.FELLOW: Scope.OWN,
     routers.Audience.REMOTE: Scope.DATA_CENTRE,
     routers.Audience.LOCAL: Scope.ALL,
+    routers.Audience.RESERVE: Scope.ALL,
 }
 # Which audience gets news that came in a message of a scope; a message that was for this
 # router's data centre has reached everyone in it already.
 PASSED_ON = {
-    Scope.OWN: (routers.Audience.REMOTE, routers.Audience.LOCAL),
-    Scope.DATA_CENTRE: (routers.Audience.LOCAL,),
+    Scope.OWN: (routers.Audience.REMOTE, routers.Audience.LOCAL, routers.Audience.RESERVE),
+    Scope.DATA_CENTRE: (routers.Audience.LOCAL, routers.Audience.RESERVE),
     Scope.ALL: (),
 }
 
@@ -89,14 +90,14 @@
     found = []
     for key, state in states.items():
         if audience is routers.Audience.FELLOW:
-            count, tokens = state.in_flight, state.backlog_tokens
-            state.reported = (count, tokens)
+            load = state.reported = state.own_load(now)
         elif audience is routers.Audience.REMOTE:
-            count, tokens = state.near_load(now)
+            load = state.near_load(now)
         else:
-            count, tokens = state.load(now)
-        if count:
-            found.append(gossip.Load(key, count, int(tokens)))
+            load = state.whole_load(now)
+        hundredths = int(100 * load.failures)
+        if load.requests or hundredths:
+            found.append(gossip.Load(key, load.requests, int(load.tokens), hundredths))
     return tuple(found)
 
 
@@ -120,9 +121,10 @@
     for key, state in states.items():
         load = found.get(key)
         if load is not None:
-            state.peer_loads[source] = (load.requests, load.tokens, now)
+            known = endpoints.PeerLoad(load.requests, load.tokens, load.failures / 100)
+            state.peer_loads[source] = (known, now)
         elif source is endpoints.TOTAL:
             # Nothing there is news as well: this router's own requests are not to count twice.
-            state.peer_loads[source] = (0, 0.0, now)
+            state.peer_loads[source] = (endpoints.PeerLoad(), now)
         else:
             state.peer_loads.pop(source, None)
--- a/bronzemux/gateway/routers.py
+++ b/bronzemux/gateway/routers.py
@@ -46,7 +46,7 @@
 # budget (`budget.USED_SHARE`) the sum stays below it.
 RESERVE_DIVISOR = 8
 # What is alive is worked out anew at most this often between messages.
-VIEW_SECONDS = 0.1
+VIEW_SECONDS = 0.2
 
 
 class ListKind(enum.Enum):
@@ -68,11 +68,13 @@
     FELLOW: A relay of the same data centre, or any router while all talk to each other.
     REMOTE: A relay of another data centre.
     LOCAL: A router of the data centre for which this one is a relay.
+    RESERVE: One of these that callers are not told to use.
     """
 
     FELLOW = "fellow"
     REMOTE = "remote"
     LOCAL = "local"
+    RESERVE = "reserve"
 
 
 @dataclasses.dataclass
@@ -113,11 +115,13 @@
       is_mesh: Whether routers are so few that each talks to all.
       relays: Names of the relays of the own data centre.
       targets: Routers that get the own status messages.
+      named: Names of the routers that callers are told to use.
     """
 
     is_mesh: bool
     relays: frozenset[str]
     targets: tuple[gossip.Router, ...]
+    named: frozenset[str]
 
 
 def checksum(found: Iterable[gossip.Router]) -> int:
@@ -161,7 +165,7 @@
         self.view: list[gossip.Router] = []
         self.view_at = -1e9
         self.names: frozenset[str] = frozenset()
-        self.layout = Layout(True, frozenset(), ())
+        self.layout = Layout(True, frozenset(), (), frozenset())
 
     # News
 
@@ -267,7 +271,8 @@
             self.known[name].shown_at = now
         relays = frozenset() if is_mesh else frozenset(router.name for router in own_relays)
         targets = self._all() if is_mesh else self._targets(own_relays, is_relay, now)
-        self.layout = Layout(is_mesh, relays, tuple(targets))
+        named = frozenset(router.name for router in self._named(self.view or self._all()))
+        self.layout = Layout(is_mesh, relays, tuple(targets), named)
 
     def _listed(self, now: float, kinds: tuple[ListKind, ...]) -> list[gossip.Router]:
         """Return the routers that are heard here, or are on a list of one that is heard.
@@ -344,6 +349,11 @@
         layout = self.current(now)
         return layout.is_mesh or self.own.name in layout.relays
 
+    def is_strongest(self, now: float) -> bool:
+        """Return whether this router is one of the strongest of its data centre that it knows."""
+        found = _strongest([*self.alive(now), self.own], self.own.data_centre)
+        return any(router.name == self.own.name for router in found)
+
     def audience(self, router: gossip.Router, now: float) -> Audience:
         """Return what another router is to this one."""
         layout = self.current(now)
@@ -351,30 +361,28 @@
             return Audience.FELLOW
         if router.data_centre != self.own.data_centre:
             return Audience.REMOTE
-        if self.own.name in layout.relays and router.name not in layout.relays:
-            return Audience.LOCAL
-        return Audience.FELLOW
+        if self.own.name not in layout.relays or router.name in layout.relays:
+            return Audience.FELLOW
+        return Audience.LOCAL if router.name in layout.named else Audience.RESERVE
 
     def is_relayed_to(self, router: gossip.Router, now: float) -> bool:
         """Return whether this router is a relay for another one."""
-        return self.audience(router, now) is Audience.LOCAL
+        return self.audience(router, now) in (Audience.LOCAL, Audience.RESERVE)
 
     def roster(self, audience: Audience, now: float) -> list[gossip.Router]:
         """Return the list of routers that another one gets from this one."""
-        if audience is Audience.LOCAL:
+        if audience in (Audience.LOCAL, Audience.RESERVE):
             return [*self.alive(now), self.own]
         return self.direct(now) if self.is_relay(now) else []
 
     # Who serves callers
 
-    def serving(self, now: float) -> list[gossip.Router]:
-        """Return the routers that take callers."""
-        found = [router for router in self.believed(now) if router.is_ready]
-        return [self.own, *found] if self.own.is_ready else found
-
     def named(self, now: float) -> list[gossip.Router]:
         """Return the routers that callers are told to use: the strong ones while they suffice."""
-        serving = self.serving(now)
+        return self._named(self.believed(now))
+
+    def _named(self, believed: list[gossip.Router]) -> list[gossip.Router]:
+        serving = [router for router in [self.own, *believed] if router.is_ready]
         least = STRONG_SHARE * max((r.processor for r in serving), default=0.0)
         strong = [router for router in serving if router.processor >= least]
         enough = ENOUGH_SHARE * sum(router.processor for router in serving)
@@ -390,7 +398,7 @@
         if len(self.known) < MAX_MESH:
             return 1 + len(self.known)
         named = self.named(now)
-        if any(router.name == self.own.name for router in named):
+        if self.own in named:
             return len(named)
         return RESERVE_DIVISOR * (1 + len(self.known))
 
--- a/bronzemux/gateway/weights.py
+++ b/bronzemux/gateway/weights.py
@@ -12,6 +12,8 @@
 
 # Fine against the 0.7 s that a load takes.
 TICK_SECONDS = 0.05
+# A router that may not contend for the lease looks this often whether it may.
+IDLE_SECONDS = 0.5
 # Reports are some 0.2 s old; asking twice in that time finds each change soon.
 REPORT_SECONDS = 0.12
 # An order whose fate is unknown is looked into for this long; late ones arrive within seconds.
@@ -170,7 +172,7 @@
     """
     behind = [s for s in states if s.weights.get(name, 0) < version]
     busy = [s for s in behind if s.endpoint.lifetime in followed]
-    free = [s for s in behind if s.endpoint.lifetime not in followed and s.suspended_until <= now]
+    free = [s for s in behind if s.endpoint.lifetime not in followed and not s.is_suspected]
     room = loading_limit(len(states)) - len(busy)
     return sorted(free, key=lambda s: (s.weights.get(name, 0), s.load(now)))[: max(0, room)]
 
@@ -229,6 +231,8 @@
         self.board.lease_version = self.lease.token if is_held else 0
         if is_held:
             self._give_orders(now)
+        elif not self.is_candidate():
+            self.next_tick = now + IDLE_SECONDS
 
     def _maintain_lease(self, now: float) -> None:
         """Renew the lease in a greenlet of its own, so that a slow store stops no tick.
@@ -300,7 +304,7 @@
         else:
             self.board.abandon(state, name)
             if outcome is orders.Outcome.UNREACHABLE:
-                state.record_unreachable(now)
+                state.record_failure(now)
 
     def _drain(self, state: endpoints.EndpointState, name: str, version: int) -> orders.SwitchMode:
         """Keep requests away until few run, for a bounded time; return how to switch.
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -131,7 +131,7 @@
         while not peers.mailbox.empty():
             peers.handle(peers.mailbox.get())
         now = self.clock.monotonic()
-        if now >= getattr(peers, "next_tick", 0.0):
+        if now >= peers.next_tick:
             peers.next_tick = now + routers.STATUS_SECONDS
             peers.tick()
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,7 @@
     Examples:
       | what                                                       |
       | an answer is cut off by a kill                             |
+      | a request crosses the close of its connection              |
       | a stream goes on from its copy at a second endpoint        |
       | a request reaches a leaving endpoint through a paused router |
       | an order arrives right after its sender was resumed        |
--- a/features/soak.py
+++ b/features/soak.py
@@ -24,6 +24,7 @@
 import time
 
 import gevent
+import gevent.lock
 import gevent.pool
 from gevent import subprocess
 
@@ -53,6 +54,7 @@
 START_SECONDS = 10.0
 CONFIG_SECONDS = 2.0
 MAX_PRINTED = 20
+CHILDREN: list[subprocess.Popen] = []
 STORE_FAULTS = [fault for fault in standin_store.Fault if fault is not standin_store.Fault.NONE]
 WORKER_FAULTS = (
     standin_worker.Fault.SHED,
@@ -126,6 +128,8 @@
         self.settings = folder / f"{name}.json"
         self.child: subprocess.Popen | None = None
         self.is_paused = False
+        # One stop and start at a time; signals to a process that is ending may overlap.
+        self.restarting = gevent.lock.Semaphore()
 
     def write_settings(self, seeds: list[str]) -> None:
         """Write the settings file."""
@@ -288,13 +292,16 @@
     def _terminate(self, process, worker, seconds) -> None:
         if process.is_paused:
             return
-        process.stop(signal.SIGTERM, GRACE_SECONDS)
-        process.start()
+        with process.restarting:
+            process.stop(signal.SIGTERM, GRACE_SECONDS)
+            process.start()
 
     def _kill(self, process, worker, seconds) -> None:
-        process.stop(signal.SIGKILL, GRACE_SECONDS)
-        gevent.sleep(seconds / 4)
-        process.start()
+        process.signal(signal.SIGKILL)
+        with process.restarting:
+            process.stop(signal.SIGKILL, GRACE_SECONDS)
+            gevent.sleep(seconds / 4)
+            process.start()
 
     def _pause(self, process, worker, seconds) -> None:
         process.is_paused = True
@@ -477,8 +484,18 @@
     words += [f"--seconds={arguments.seconds}"]
     if arguments.keep:
         words.append(f"--keep={arguments.keep}")
-    ended = subprocess.run(words, cwd=ROOT, stdout=subprocess.PIPE, check=False)
-    return seed, ended.stdout.decode(errors="replace")
+    with subprocess.Popen(words, cwd=ROOT, stdout=subprocess.PIPE) as child:
+        CHILDREN.append(child)
+        output = child.communicate()[0]
+    return seed, output.decode(errors="replace")
+
+
+def end_children() -> None:
+    """End the runs of other seeds, which end their gateways, and this program."""
+    for child in CHILDREN:
+        if child.poll() is None:
+            child.terminate()
+    sys.exit(1)
 
 
 def main(words: list[str]) -> int:
@@ -489,6 +506,7 @@
     parser.add_argument("--jobs", type=int, default=3, help="seeds at the same time")
     parser.add_argument("--keep", default="", help="folder for the logs")
     arguments = parser.parse_args(words)
+    gevent.signal_handler(signal.SIGTERM, end_children)
     if not arguments.jobs:
         (seed,) = seeds_of(arguments.seeds)
         keep = pathlib.Path(arguments.keep) / str(seed) if arguments.keep else None
--- a/features/soak_checker.py
+++ b/features/soak_checker.py
@@ -13,6 +13,8 @@
 DRAIN_SECONDS = 2.0
 # Orders that arrive this soon after their sender was resumed do not count.
 THAW_SECONDS = 0.3
+# A request that is not passed on and whose connection ends this soon crossed the close.
+CROSSING_SECONDS = 0.2
 # A fault reaches this far into what comes after it.
 STABLE_SECONDS = 3.0
 
@@ -128,7 +130,7 @@
     for attempt in history.sent:
         found += _check_attempt(attempt, runs.get(attempt.id, []))
         found += _check_denied(attempt, history)
-        found += _check_lost(attempt, history)
+        found += _check_lost(attempt, runs.get(attempt.id, []), history)
     for ran in history.ran:
         found += _check_run(ran, sent.get(ran.id), history)
     return found + _check_budget(history) + _check_orders(history)
@@ -163,8 +165,11 @@
     return []
 
 
-def _check_lost(attempt: Sent, history: History) -> list[str]:
+def _check_lost(attempt: Sent, runs: list[Ran], history: History) -> list[str]:
     is_cut = attempt.status == 0 or not attempt.is_whole
+    if not runs and attempt.ended_at - attempt.at < CROSSING_SECONDS:
+        # It crossed the close of a connection that had nothing to do.
+        return []
     if not is_cut or not history.is_calm(attempt.router, attempt.at, attempt.ended_at):
         return []
     if history.is_calm("", attempt.at, attempt.ended_at):
--- a/features/steps/gateway_beliefs_steps.py
+++ b/features/steps/gateway_beliefs_steps.py
@@ -245,13 +245,14 @@
         {"op": 5, "servers": 9},
         True,
         12345,
-        (gossip.Load("lm-1", 3, 120),),
+        (gossip.Load("lm-1", 3, 120, 250),),
         (gossip.WeightsNews("lm-1/1", "m1", 4, True),),
         (gossip.PrefixNews(b"12345678", 50, "lm-1/1", 250),),
         (gossip.DeathNews("lm-1/1", ("aa", "bb")),),
         17,
         (("m1", 4, 2500),),
         (("10.0.0.1:1", 77),),
+        ("lm-2/5",),
     )
     assert gossip.decode(gossip.encode(status)) == status
 
--- /dev/null
+++ b/features/steps/gateway_reachability_steps.py
@@ -0,0 +1,152 @@
+"""Steps for endpoints that cannot be reached."""
+
+import gevent
+from behave import given, then, when
+
+from bronzemux import clock
+from bronzemux.gateway import endpoints, model, reachability
+from features.steps import gateway_relays_steps
+
+STEP_SECONDS = 0.05
+
+
+class Attempt:
+    """Attempt that notes whether it was ended."""
+
+    def __init__(self):
+        self.is_ended = False
+
+    def end_silent(self) -> None:
+        """End."""
+        self.is_ended = True
+
+
+class SteppedClock(clock.FakeClock):
+    """Clock that only the scenario moves."""
+
+    def sleep(self, seconds: float) -> None:
+        """Wait until the scenario has moved the clock far enough."""
+        until = self.elapsed + seconds
+        while self.elapsed < until:
+            gevent.sleep(0)
+
+
+@given("an endpoint that refuses connections for {seconds:g} seconds")
+def step_refusing(context, seconds):
+    context.clock = SteppedClock()
+    context.clock.advance(100.0)
+    back_at = context.clock.monotonic() + seconds
+    context.probes, context.told, context.woken = [], [], []
+
+    def connect(address: str) -> bool:
+        context.probes.append(context.clock.monotonic())
+        return context.clock.monotonic() >= back_at
+
+    found = reachability.Reachability(context.clock, lambda: context.woken.append(1), connect)
+    found.on_suspect.append(context.told.append)
+    context.reachability = found
+    context.endpoints = endpoints.EndpointTable()
+    entry = model.Endpoint("app-1", "app", "10.0.0.1:80", "a", 8, born_ms=1)
+    context.endpoints.put(entry, 100.0)
+    context.state = context.endpoints.states["app-1"]
+    context.hears = False
+
+
+def let_pass(context, seconds: float) -> None:
+    """Move the clock in small steps and let the probes run."""
+    for _ in range(round(seconds / STEP_SECONDS)):
+        context.clock.advance(STEP_SECONDS)
+        if context.hears:
+            context.state.heard_at = context.clock.monotonic()
+        gevent.sleep(0)
+        gevent.sleep(0)
+
+
+@given("an attempt under way there, which {hears}")
+def step_attempt(context, hears):
+    context.attempt = Attempt()
+    context.state.attempts.add(context.attempt)
+    context.hears = hears.startswith("goes on")
+
+
+@when("a connection of a request fails")
+@when("{count:d} connections of requests fail")
+def step_fails(context, count=1):
+    for _ in range(count):
+        context.reachability.report(context.state, "refused")
+    gevent.sleep(0)
+
+
+@when("{seconds:g} seconds pass for the probes")
+def step_probes_pass(context, seconds):
+    let_pass(context, seconds)
+
+
+@then("it gets no request, and is probed at most {most:d} times in {seconds:g} seconds")
+def step_not_usable(context, most, seconds):
+    for _ in range(round((seconds - STEP_SECONDS) / STEP_SECONDS)):
+        assert not context.endpoints.usable("app", context.clock.monotonic())
+        let_pass(context, STEP_SECONDS)
+    assert 1 <= len(context.probes) <= most, context.probes
+
+
+@then("it gets requests again within {seconds:g} seconds")
+def step_usable(context, seconds):
+    let_pass(context, seconds)
+    gevent.sleep(0)
+    assert context.endpoints.usable("app", context.clock.monotonic())
+    assert context.woken
+
+
+@then("the others are told once, and {count:d} failures are counted")
+def step_told_once(context, count):
+    assert len(context.told) == 1
+    assert round(context.state.failure_level(context.clock.monotonic())) == count
+
+
+@then("the attempt is {state}")
+def step_attempt_state(context, state):
+    assert context.attempt.is_ended == (state == "ended")
+
+
+@when("its entry is removed from the table")
+def step_entry_removed(context):
+    context.endpoints.remove("app-1")
+
+
+@then("the probes end")
+def step_probes_end(context):
+    let_pass(context, 3.0)
+    count = len(context.probes)
+    let_pass(context, 10.0)
+    assert len(context.probes) == count
+
+
+@when("another router tells of {count:d} failures at endpoint {number:d}")
+def step_told(context, count, number):
+    state = context.states[number - 1]
+    load = endpoints.PeerLoad(failures=float(count))
+    state.peer_loads[endpoints.Source("vm-2")] = (load, 0.2)
+
+
+@when("a weak router meets {count:d} failures at an endpoint, and cannot connect to it")
+def step_meets(context, count):
+    fleet = context.fleet
+    for made in fleet.gateways.values():
+        made.endpoints.put(gateway_relays_steps.endpoint(), 0.0)
+        made.parts.reachability.connect = lambda address: False
+    made = fleet.gateways["a02"]
+    state = made.endpoints.states["lm-1"]
+    for _ in range(count):
+        state.record_failure(fleet.clock.monotonic())
+    made.parts.reachability.report(state, "refused")
+
+
+@then("all routers count at least {count:g} failures there, and probe it")
+def step_all_count(context, count):
+    now = context.fleet.clock.monotonic()
+    for name, made in context.fleet.gateways.items():
+        state = made.endpoints.states["lm-1"]
+        assert state.failure_level(now) >= count, (name, state.failure_level(now))
+        assert state.is_suspected, name
+        made.endpoints.remove("lm-1")
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -143,6 +143,12 @@
     context.filing.status, context.filing.is_whole = 0, False
 
 
+@when("a request crosses the close of its connection")
+def step_crossing(context):
+    attempt = add(context, 40, "status", b"", status=0, is_whole=False)
+    context.history.ran = [ran for ran in context.history.ran if ran.id != attempt.id]
+
+
 @when("an answer is cut off by a kill")
 def step_killed(context):
     add_fault(context, "kill")
