Look at a short list of endpoints, use the near cache store, and tell of weights that entries lag behind

Cause 2: the grown sites have three cache stores; all saved to and fetched from the first of the configuration. Now the store near the endpoint is used, relays divide the stores among themselves to watch, and engines that do not take copies of runs get none.

What is known beyond the entries is now told.

--- a/bronzemux/gateway/cache_watch.py
+++ b/bronzemux/gateway/cache_watch.py
@@ -47,19 +47,15 @@
     Args:
       calls: Calls of cache stores.
       index: Belief about caches.
-      address: Returns the address of the store, empty when there is none.
-      is_watcher: Returns whether this router is one of those that watch.
+      address: Returns the address of the store, empty when this router watches none.
       clock: Source of time.
     """
 
-    def __init__(
-        self, calls: CacheCalls, index: cache_index.CacheIndex, address, is_watcher, clock
-    ):
+    def __init__(self, calls: CacheCalls, index: cache_index.CacheIndex, address, clock):
         super().__init__("cache-watch", clock)
         self.calls = calls
         self.index = index
         self.address = address
-        self.is_watcher = is_watcher
         self.clock: clocks.Clock = clock
         self.next_event = 0
         self.watched = ""
@@ -68,7 +64,7 @@
         """Watch until the task is killed."""
         while True:
             address = self.address()
-            if not address or not self.is_watcher():
+            if not address:
                 self.clock.sleep(WAIT_SECONDS)
                 continue
             self.watch_once(address)
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -232,8 +232,8 @@
     def _learn_weights(self, prompt: model.Prompt, answer: model.AnswerHead) -> None:
         if answer.weights is not None:
             self.state.learn_weights(prompt.model, answer.weights)
-        store = self.parts.knowledge.configuration.cache_store()
-        if self.choice.save_to and store is not None:
+        store = self.parts.knowledge.configuration.cache_store(self.choice.save_to)
+        if store is not None:
             room = int(store.cache_tokens * cache_index.CACHE_SHARE)
             self._note_prefixes(store.cache_store, room, SAVE_SECONDS)
 
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -331,8 +331,8 @@
             self.parts.index,
             tuple(
                 (s.cache_store, s.data_centre)
-                for s in config.services.values()
-                if s.cache_store and self.parts.index.is_store_up(s.cache_store)
+                for s in config.cache_stores()
+                if self.parts.index.is_store_up(s.cache_store)
             ),
         )
         prompt = job.request.prompt
@@ -346,7 +346,11 @@
             self._named_before(prompt.model, now - FRESH_SECONDS),
             int(service.engine.slots * (1 + QUEUE_SHARE)),
             # What may be sent again needs no copy, as another endpoint can begin anew.
-            job.route.kind is model.Kind.STREAM and not job.route.is_resumable,
+            is_backed_up=(
+                service.engine.has_backups
+                and job.route.kind is model.Kind.STREAM
+                and not job.route.is_resumable
+            ),
         )
         return placement.choose_engine(states, need, place, now)
 
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -204,6 +204,7 @@
         self.pages: list[http_server.Server] = []
         self.registration = Registration(self)
         self.peering = peering.Peering(config, self.forwarder, self.board, self.routers)
+        self.peering.watched_store = self._cache_store
         self.weights = weights.Weights(
             config,
             self.knowledge,
@@ -240,7 +241,6 @@
                 self.platform.caches,
                 self.parts.index,
                 self._cache_store,
-                self.peering.is_cache_watcher,
                 self.clock,
             )
         )
@@ -256,9 +256,13 @@
         )
 
     def _cache_store(self) -> str:
+        """Return the cache store that this router watches, empty for none."""
         config = self.knowledge.configuration
-        store = config.cache_store() if config is not None else None
-        return store.cache_store if store is not None else ""
+        place = self.peering.watcher_place()
+        stores = config.cache_stores() if config is not None else ()
+        if place is None or not stores:
+            return ""
+        return sorted(store.cache_store for store in stores)[place % len(stores)]
 
     def _feed(self, name: str, source: rows.RowSource) -> feed.Feed:
         replica = self.knowledge.replicas[name]
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 import hashlib
 from collections.abc import Mapping
 
@@ -71,11 +72,13 @@
       slots: Requests in one batch.
       cache_tokens: Memory for running requests and cached parts.
       models: Names of the models.
+      has_backups: Whether they take copies of the memory of others' runs.
     """
 
     slots: int
     cache_tokens: int
     models: tuple[str, ...] = ()
+    has_backups: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -161,9 +164,13 @@
         """Return the team of a key, None when no team holds it."""
         return self.teams.get(digest_key(key)) if key else None
 
-    def cache_store(self) -> Service | None:
-        """Return the service that keeps KV cache, None when there is none."""
-        return next((s for s in self.services.values() if s.cache_store), None)
+    def cache_stores(self) -> tuple[Service, ...]:
+        """Return the services that keep KV cache."""
+        return tuple(s for s in self.services.values() if s.cache_store)
+
+    def cache_store(self, address: str) -> Service | None:
+        """Return the service that keeps KV cache at an address, None when none does."""
+        return next((s for s in self.cache_stores() if s.cache_store == address), None)
 
 
 def digest_key(key: str) -> bytes:
@@ -195,7 +202,7 @@
     weights: Mapping[str, int] = dataclasses.field(default_factory=dict)
     born_ms: int = 0
 
-    @property
+    @functools.cached_property
     def lifetime(self) -> str:
         """Return what names this start of the endpoint alone."""
         return f"{self.id}/{self.born_ms}"
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -98,6 +98,7 @@
         self.behind: dict[str, Behind] = {}
         self.prefixes = relaying.Outbox()
         self.deaths = relaying.Outbox()
+        self.watched_store: Callable[[], str] = lambda: ""
         self.suspects = relaying.Outbox()
         self.asked_at: dict[str, float] = {}
         self.answered_at: dict[str, float] = {}
@@ -139,14 +140,14 @@
         self.parts.meters.mesh_bytes.labels("received").inc(len(content))
         self.send(Frame(content))
 
-    def is_cache_watcher(self) -> bool:
-        """Return whether this router is one of those that watch cache stores."""
+    def watcher_place(self) -> int | None:
+        """Return the place of this router among those that watch cache stores, None for none."""
         now = self.clock.monotonic()
         if not self.table.is_relay(now):
-            return False
+            return None
         direct = [r for r in self.table.direct(now) if not self.table.is_relayed_to(r, now)]
         before = sum(router.name < self.table.own.name for router in direct)
-        return before < cache_watch.MAX_WATCHERS
+        return before if before < cache_watch.MAX_WATCHERS else None
 
     def must_follow_store(self) -> bool:
         """Return whether this router has to use the store itself: its rows, and leases.
@@ -289,9 +290,17 @@
                 for model_name, target in self.knowledge.targets.items()
                 for version, at in target.known_at.items()
             ),
-            stores=tuple(self.parts.index.epochs.items()) if self.table.is_relay(now) else (),
+            stores=self._stores(audience),
         )
 
+    def _stores(self, audience: routers.Audience) -> tuple[tuple[str, int], ...]:
+        """Return the epochs of cache stores: what this router watches, for its own all of them."""
+        known = self.parts.index.epochs
+        if self.table.is_relay(self.clock.monotonic()) and relaying.is_local(audience):
+            return tuple(known.items())
+        watched = self.watched_store()
+        return ((watched, known[watched]),) if watched in known else ()
+
     # Receiving
 
     @functools.singledispatchmethod
@@ -345,8 +354,8 @@
             self.suspects.add(lifetime, audiences)
         if audiences and (message.prefixes or message.deaths or message.suspects):
             self.announce_soon()
-        if message.stores and not self.is_cache_watcher():
-            for address, epoch in message.stores:
+        for address, epoch in message.stores:
+            if address != self.watched_store():
                 self.parts.index.note_store(address, epoch)
         if message.is_following:
             self.following_heard_at = now
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import hashlib
+import heapq
 
 from bronzemux.gateway import cache_index, endpoints, model
 
@@ -24,6 +25,10 @@
 # Reading a prefix again that is held elsewhere costs its endpoint the time, and on the price sheets
 # about a third of a late answer for a thousand tokens: 0.2 s of a stream's objective.
 REREAD_SECONDS_PER_TOKEN = 0.2 / 1000
+# Endpoints of which all are estimated; with more, this many holders of the prefix, first ones of the
+# hash order, and idle ones. The places after them would cost more than half an objective.
+ALL_CANDIDATES = 12
+SHORT_LIST = 5
 # Bytes between data centres cost little beside a late answer.
 REMOTE_SECONDS = 0.002
 # Each recent failure weighs as this share of a request's time to answer.
@@ -79,6 +84,13 @@
     index: cache_index.CacheIndex
     stores: tuple[tuple[str, str], ...] = ()
 
+    def store_near(self, data_centre: str) -> str:
+        """Return the address of a cache store, in a data centre if there is one, or empty."""
+        for address, place in self.stores:
+            if place == data_centre:
+                return address
+        return self.stores[0][0] if self.stores else ""
+
 
 def choose_plain(states, place: Place, now: float) -> Choice | None:
     """Return the endpoint of a plain service that will answer first.
@@ -139,24 +151,25 @@
       now: Monotonic seconds.
     """
     name = need.prompt.model
-    ready = [
+    able = [
         state
         for state in states
         if state.weights.get(name, -1) >= need.least_weights and not state.is_loading(name, now)
     ]
-    ready = [state for state in ready if state.load(now)[0] < need.capacity] or ready
+    loads = {state.endpoint.id: state.load(now) for state in able}
+    ready = [state for state in able if loads[state.endpoint.id][0] < need.capacity] or able
     choices = []
     for weights in {state.weights[name] for state in ready}:
         same = [state for state in ready if state.weights[name] == weights]
-        choices.extend(_version_choices(same, weights, need, place, now))
+        choices.extend(_version_choices(same, loads, weights, need, place, now))
     if not choices:
         return None
     best = min(choices, key=lambda pair: pair[0])[1]
-    backup = _backup(ready, best, name, now) if need.is_backed_up else None
-    return dataclasses.replace(best, considered=len(choices), backup=backup)
+    backup = choose_backup(ready, best, name, now) if need.is_backed_up else None
+    return dataclasses.replace(best, considered=len(ready), backup=backup)
 
 
-def _backup(ready, best: Choice, name: str, now: float) -> endpoints.EndpointState | None:
+def choose_backup(ready, best: Choice, name: str, now: float) -> endpoints.EndpointState | None:
     """Return the least loaded other endpoint with the same weights, near the first by choice."""
     others = [s for s in ready if s is not best.state and s.weights[name] == best.weights]
 
@@ -173,19 +186,19 @@
     return Choice(choice.backup, choice.weights, choice.salt, cached_tokens=tokens, continues=True)
 
 
-def _version_choices(states, weights: int, need: Need, place: Place, now: float):
-    """Return cost and choice of the endpoints that have the same weights."""
-    salt = cache_salt(need.prompt.model, weights, need.team)
-    keys = cache_index.prefix_keys(salt, need.prompt.shared_parts)
-    holders = [s for s in states if place.index.depth(s.endpoint.lifetime, keys, None)]
-    held = [place.index.depth(s.endpoint.lifetime, keys, None) for s in holders]
-    held += [place.index.depth(address, keys, None) for address, _ in place.stores]
-    prefix = Prefix(salt, keys, tuple(holders), max(held, default=0))
-    is_old = weights < need.fresh_weights
-    stale = STALE_OBJECTIVES * need.objective_seconds if is_old else 0.0
-    for rank, state in enumerate(_ranked(states, keys)):
-        cost, choice = _engine_choice(state, rank, need.prompt, weights, prefix, place, now)
-        yield cost + stale, choice
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """A holder of cached parts that can be fetched now.
+
+    Attributes:
+      tokens: Tokens of the longest prefix that it has.
+      address: IP number and port.
+      data_centre: Where it is.
+    """
+
+    tokens: int
+    address: str
+    data_centre: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -195,23 +208,90 @@
     Attributes:
       salt: Cache salt.
       keys: Key and tokens of each prefix.
-      holders: Endpoints that have some of it, or are reading it.
+      local: Tokens that each endpoint has or is reading, by identity.
+      sources: Who has some of it, the longest part first.
       held_tokens: Tokens of the longest part that anyone has or is reading.
     """
 
     salt: str
     keys: list[tuple[bytes, int]]
-    holders: tuple[endpoints.EndpointState, ...]
+    local: dict[str, int]
+    sources: tuple[Source, ...]
     held_tokens: int
 
 
+def _version_choices(states, loads, weights: int, need: Need, place: Place, now: float):
+    """Return cost and choice of the endpoints that have the same weights."""
+    prefix = describe_prefix(states, weights, need, place, now)
+    is_old = weights < need.fresh_weights
+    stale = STALE_OBJECTIVES * need.objective_seconds if is_old else 0.0
+    for rank, state in shortlist(states, loads, prefix):
+        load = loads[state.endpoint.id]
+        cost, choice = _engine_choice(state, load, rank, need.prompt, weights, prefix, place, now)
+        yield cost + stale, choice
+
+
+def describe_prefix(states, weights: int, need: Need, place: Place, now: float) -> Prefix:
+    """Return what is known of a prompt's prefix.
+
+    Args:
+      states: Endpoints with the same weights.
+      weights: Version of the weights.
+      need: What the request needs.
+      place: Where this gateway stands.
+      now: Monotonic seconds.
+    """
+    salt = cache_salt(need.prompt.model, weights, need.team)
+    keys = cache_index.prefix_keys(salt, need.prompt.shared_parts)
+    local, sources, held = {}, [], 0
+    for state in states:
+        entry = state.endpoint
+        tokens = local[entry.id] = place.index.depth(entry.lifetime, keys, None)
+        if tokens:
+            ready = place.index.depth(entry.lifetime, keys, now)
+            sources.append(Source(ready, entry.address, entry.data_centre))
+            held = max(held, tokens)
+    for address, data_centre in place.stores:
+        sources.append(Source(place.index.depth(address, keys, now), address, data_centre))
+        held = max(held, place.index.depth(address, keys, None))
+    # Of holders of the same part the one that comes first here is asked; stores are made for it.
+    sources.sort(key=lambda source: source.tokens, reverse=True)
+    return Prefix(salt, keys, local, tuple(s for s in sources if s.tokens), held)
+
+
+def shortlist(states, loads, prefix: Prefix):
+    """Return place in the hash order and state of the endpoints that are worth an estimate.
+
+    Among many endpoints the best one holds the prefix, is first in the hash order, or is idle; the
+    rest is not looked at.
+    """
+    ranked = list(enumerate(_ranked(states, prefix.keys)))
+    if len(ranked) <= ALL_CANDIDATES:
+        return ranked
+
+    def load_key(pair):
+        count, backlog = loads[pair[1].endpoint.id]
+        return (backlog + count * RUNNING_SECONDS * READ_TOKENS_PER_SECOND, pair[0])
+
+    holders = [pair for pair in ranked if prefix.local[pair[1].endpoint.id]]
+    holders = heapq.nsmallest(
+        SHORT_LIST,
+        holders,
+        key=lambda pair: (-prefix.local[pair[1].endpoint.id], *load_key(pair)),
+    )
+    idle = heapq.nsmallest(SHORT_LIST, ranked, key=load_key)
+    return list(dict([*holders, *ranked[:SHORT_LIST], *idle]).items())
+
+
 def _engine_choice(
-    state, rank, prompt, weights, prefix: Prefix, place: Place, now
+    state, load, rank, prompt, weights, prefix: Prefix, place: Place, now
 ) -> tuple[float, Choice]:
     keys = prefix.keys
-    local = place.index.depth(state.endpoint.lifetime, keys, None)
-    source, fetched, fetch_seconds = _source(state, prefix, local, place, now)
-    count, backlog = state.load(now)
+    entry = state.endpoint
+    local = prefix.local[entry.id]
+    store = place.store_near(entry.data_centre)
+    source, fetched, fetch_seconds = _source(state, prefix, local, store)
+    count, backlog = load
     reading = max(0, prompt.tokens - max(local, fetched))
     seconds = state.slowness * (backlog + reading) / READ_TOKENS_PER_SECOND
     seconds += fetch_seconds + count * RUNNING_SECONDS
@@ -219,9 +299,8 @@
     cost += max(0, prefix.held_tokens - max(local, fetched)) * REREAD_SECONDS_PER_TOKEN
     if not local:
         cost += rank * RANK_SECONDS
-    if state.endpoint.data_centre != place.data_centre:
+    if entry.data_centre != place.data_centre:
         cost += REMOTE_SECONDS
-    store = place.stores[0][0] if place.stores else ""
     is_saved = not keys or place.index.holds(store, keys[-1][0])
     choice = Choice(
         state,
@@ -236,29 +315,24 @@
     return cost, choice
 
 
-def _source(state, prefix: Prefix, local: int, place: Place, now) -> tuple[str, int, float]:
+def _source(state, prefix: Prefix, local: int, store: str) -> tuple[str, int, float]:
     """Return the address to fetch from, the tokens that it has, and the time that it takes.
 
-    Without a known holder the cache store is asked all the same: it answers a miss in a
+    Without a known holder the near cache store is asked all the same: it answers a miss in a
     millisecond, and other gateways may have saved the prefix a moment ago. So it is when the
     endpoint is believed to have the prefix, as it may have evicted it.
     """
-    keys = prefix.keys
-    if not keys:
+    if not prefix.keys:
         return "", 0, 0.0
-    default = place.stores[0][0] if place.stores else ""
-    if local >= keys[-1][1]:
-        return default, 0, 0.0
-    sources = [(address, data_centre, address) for address, data_centre in place.stores]
-    for holder in prefix.holders:
-        if holder is not state:
-            entry = holder.endpoint
-            sources.append((entry.address, entry.data_centre, entry.lifetime))
-    best = (default, 0, 0.0)
-    for address, data_centre, name in sources:
-        depth = place.index.depth(name, keys, now)
-        if depth > max(local, best[1]):
-            best = (address, depth, _fetch_seconds(state, depth - local, data_centre))
+    best = (store, 0, 0.0)
+    for source in prefix.sources:
+        if source.tokens <= local or source.tokens < best[1]:
+            break
+        if source.address == state.endpoint.address:
+            continue
+        seconds = _fetch_seconds(state, source.tokens - local, source.data_centre)
+        if not best[1] or seconds < best[2]:
+            best = (source.address, source.tokens, seconds)
     return best
 
 
--- a/bronzemux/gateway/relaying.py
+++ b/bronzemux/gateway/relaying.py
@@ -43,6 +43,11 @@
 }
 
 
+def is_local(audience: routers.Audience) -> bool:
+    """Return whether an audience hears of everything from this router alone."""
+    return SCOPES[audience] is Scope.ALL
+
+
 def passed_on(message: gossip.Status, table: routers.RouterTable, now: float) -> tuple:
     """Return the audiences that get what a message tells.
 
--- a/bronzemux/gateway/weights.py
+++ b/bronzemux/gateway/weights.py
@@ -85,13 +85,25 @@
                 del kept[key]
         for news in self.recent.values():
             self._apply(news.item)
-        found = {
+        found = self._ahead_of_entries()
+        found |= {
             key: news.item
             for key, news in [*self.passing.items(), *self.recent.items()]
             if audience in news.audiences
         }
         return tuple(found.values())
 
+    def _ahead_of_entries(self) -> dict[tuple[str, str], gossip.WeightsNews]:
+        """Return what is known beyond the entries: a router that just started knows only these."""
+        return {
+            (state.endpoint.lifetime, name): gossip.WeightsNews(
+                state.endpoint.lifetime, name, version, is_loading=False
+            )
+            for state in self.table.states.values()
+            for name, version in state.weights.items()
+            if version > state.endpoint.weights.get(name, 0)
+        }
+
     def record(self, state: endpoints.EndpointState, name: str, version: int, is_loading) -> None:
         """Note what an endpoint was found to load or to have loaded, and tell the others."""
         lifetime = state.endpoint.lifetime
--- a/bronzemux/platform/documents.py
+++ b/bronzemux/platform/documents.py
@@ -88,6 +88,8 @@
             slots=fields.integer(engine, "slots"),
             cache_tokens=fields.integer(engine, "kv_capacity_tokens"),
             models=tuple(fields.text(entry, "name") for entry in models),
+            # Engines that do not say take copies, as the protocol has it.
+            has_backups=fields.flag(engine, "backups", True),
         )
     return model.Service(
         name=fields.text(item, "name"),
--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -90,3 +90,41 @@
       | restarts          | name        | forgotten |
       | does not answer   | do not name | forgotten |
       | is back after that | name       | forgotten |
+
+  Scenario: Load pattern "hot prefix at many endpoints": it spreads, though few are looked at
+    Given 45 model endpoints that hold nothing
+    When 600 requests a second with one prefix of 6000 tokens arrive for 2 seconds
+    Then no endpoint gets more than 25 percent of them
+    And the first tokens are late for at most 5 percent
+    And at most 15 of 45 endpoints are estimated for a request
+
+  Scenario: Load pattern "many prefixes at many endpoints": each is read once or twice
+    Given 45 model endpoints that hold nothing
+    And a cache store
+    When 100 requests a second with 80 prefixes of 2500 tokens arrive for 5 seconds
+    Then each prefix is read at most 2 times
+
+  Scenario Outline: The cache store near the endpoint is used
+    Given 3 model endpoints that hold nothing
+    And cache stores in the data centres "b" and "a"
+    When a request is placed at an endpoint in data centre "<place>"
+    Then it is saved to, and fetched from, the store in "<store>"
+
+    Examples:
+      | place | store |
+      | a     | a     |
+      | b     | b     |
+      | c     | b     |
+
+  Scenario Outline: A copy of a run's memory goes to another endpoint with the same weights
+    Given 3 model endpoints that hold nothing
+    And endpoint 2 <is>
+    When a request that may not be begun anew is placed at endpoint 1
+    Then its copy goes to endpoint 3
+
+    Examples:
+      | is                        |
+      | has weights 2             |
+      | has 5 requests            |
+      | has failed 3 times        |
+      | is in another data centre |
--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -89,6 +89,16 @@
     And the routers run for 0.3 seconds
     Then all routers know of both
 
+  Scenario: A router that starts hears of weights that the endpoints' entries do not show yet
+    Given 24 routers in 3 data centres, of which 2 in each are strong
+    And the routers run for 4 seconds
+    And all know since 10 seconds of weights 2 that an endpoint's entry does not show
+    When of the routers, a weak router die
+    And the router starts again
+    And it reads the endpoint's entry
+    And the routers run for 1 seconds
+    Then the router knows of weights 2
+
   Scenario: Callers are told of the strong routers while they suffice, otherwise of all
     Given 24 routers in 3 data centres, of which 2 in each are strong
     And the routers run for 4 seconds
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -1,6 +1,7 @@
 """Steps for where requests go."""
 
 import collections
+import dataclasses
 
 import gevent
 from behave import given, then, when
@@ -337,7 +338,7 @@
 def step_known_store(context):
     context.caches = ScriptedCaches()
     context.watch = cache_watch.CacheWatch(
-        context.caches, context.index, lambda: STORE, lambda: True, clock.FakeClock()
+        context.caches, context.index, lambda: STORE, clock.FakeClock()
     )
     context.watch.watch_once(STORE)
     keys = cache_index.prefix_keys("m1/1", prompt_of(1, 3000).shared_parts)
@@ -364,3 +365,62 @@
     choice = choose(context, prompt_of(1, 3000), 1.0)
     assert (choice.fetch_from == STORE) == (verb == "name"), choice
     assert context.index.holds(STORE, context.key) == (state == "known")
+
+
+@then("at most {most:d} of {count:d} endpoints are estimated for a request")
+def step_estimated(context, most, count):
+    assert len(context.states) == count
+    loads = {state.endpoint.id: state.load(2.0) for state in context.states}
+    place = placement.Place("a", context.index, context.stores)
+    need = placement.Need(prompt_of(1, 6000), "", OBJECTIVE_SECONDS, 0, 0, 128)
+    prefix = placement.describe_prefix(context.states, 1, need, place, 2.0)
+    found = list(placement.shortlist(context.states, loads, prefix))
+    assert placement.SHORT_LIST <= len(found) <= most, len(found)
+
+
+@given('cache stores in the data centres "{first}" and "{second}"')
+def step_stores(context, first, second):
+    context.stores = tuple((f"store-{place}", place) for place in (first, second))
+
+
+def move(state: endpoints.EndpointState, data_centre: str) -> None:
+    """Put an endpoint into a data centre."""
+    state.endpoint = dataclasses.replace(state.endpoint, data_centre=data_centre)
+
+
+@when('a request is placed at an endpoint in data centre "{place}"')
+def step_place_at(context, place):
+    for state in context.states:
+        move(state, place)
+    context.choice = choose(context, prompt_of(1, 3000), 1.0)
+
+
+@then('it is saved to, and fetched from, the store in "{place}"')
+def step_saved(context, place):
+    assert context.choice.save_to == context.choice.fetch_from == f"store-{place}"
+
+
+@given("endpoint 2 {condition}")
+def step_second(context, condition):
+    state = context.states[1]
+    if condition == "has weights 2":
+        state.weights[MODEL] = 2
+    elif condition == "has 5 requests":
+        state.in_flight = 5
+    elif condition == "has failed 3 times":
+        for _ in range(3):
+            state.record_failure(1.0)
+    else:
+        move(state, "b")
+
+
+@when("a request that may not be begun anew is placed at endpoint 1")
+def step_backed_up(context):
+    first = context.states[0]
+    best = placement.Choice(first, weights=1)
+    context.backup = placement.choose_backup(context.states, best, MODEL, 1.0)
+
+
+@then("its copy goes to endpoint {number:d}")
+def step_copy(context, number):
+    assert context.backup is context.states[number - 1]
--- a/features/steps/gateway_relays_steps.py
+++ b/features/steps/gateway_relays_steps.py
@@ -240,3 +240,24 @@
     }
     assert not heavy, heavy
     assert max(rates.values()) <= most, rates
+
+
+@given(
+    "all know since {seconds:g} seconds of weights {version:d} that an endpoint's entry does not show"
+)
+def step_ahead(context, seconds, version):
+    for made in context.fleet.gateways.values():
+        made.endpoints.put(endpoint(), 0.0)
+        made.board.record(made.endpoints.states["lm-1"], "m1", version, is_loading=False)
+    context.fleet.run(seconds)
+
+
+@when("it reads the endpoint's entry")
+def step_reads(context):
+    context.fleet.gateways[context.gone[0]].endpoints.put(endpoint(), 0.0)
+
+
+@then("the router knows of weights {version:d}")
+def step_knows_weights(context, version):
+    made = context.fleet.gateways[context.gone[0]]
+    assert made.endpoints.states["lm-1"].weights == {"m1": version}
