Wait for room in an endpoint's memory, and load weights on fewer endpoints while they are busy

Routers counted requests and unread tokens, not memory.

Change: loads carry the tokens that requests and copies of runs take; a request waits up to its objective for an endpoint with room. Copies are made only at endpoints with few requests. Weights load on a quarter of the reachable endpoints while a quarter of their slots is taken, instead of on two fifths of all, dark ones included.

--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -40,11 +40,13 @@
       requests: Their requests there.
       tokens: Prompt tokens that are still to be read for them.
       failures: Their recent failures there, fading.
+      memory: Tokens that their requests, and copies of runs, take there at most.
     """
 
     requests: int = 0
     tokens: float = 0.0
     failures: float = 0.0
+    memory: int = 0
 
 
 # All routers together, this one included.
@@ -72,6 +74,7 @@
       endpoint: The newest entry.
       in_flight: Requests of this gateway there.
       backlog_tokens: Prompt tokens that are still to be read for this gateway.
+      memory_tokens: Tokens that its requests, and copies of its runs, take there at most.
       latency: Moving average in seconds, of plain services.
       slowness: Moving average of observed to expected time, of engines.
       failures: Recent failures, fading.
@@ -90,6 +93,7 @@
     endpoint: model.Endpoint
     in_flight: int = 0
     backlog_tokens: float = 0.0
+    memory_tokens: int = 0
     latency: float | None = None
     slowness: float = 1.0
     failures: float = 0.0
@@ -128,13 +132,18 @@
 
     def own_load(self, now: float) -> PeerLoad:
         """Return what this gateway does there."""
-        return PeerLoad(self.in_flight, self.backlog_tokens, self._own_failures(now))
+        failures = self._own_failures(now)
+        return PeerLoad(self.in_flight, self.backlog_tokens, failures, self.memory_tokens)
 
     def load(self, now: float) -> tuple[int, float]:
         """Return requests and prompt tokens of all gateways there."""
         others = self._others(now)
         return self.in_flight + others.requests, self.backlog_tokens + others.tokens
 
+    def memory(self, now: float) -> int:
+        """Return the tokens that the requests of all gateways take there at most."""
+        return self.memory_tokens + self._others(now).memory
+
     def near_load(self, now: float) -> PeerLoad:
         """Return what the gateways of this data centre do there."""
         return _sum([self.own_load(now), *self._fresh(now, has_remote=False)])
@@ -153,6 +162,7 @@
             max(0, found.requests - own.requests),
             max(0.0, found.tokens - own.tokens),
             max(0.0, found.failures - own.failures),
+            max(0, found.memory - own.memory),
         )
 
     def _fresh(self, now: float, has_remote: bool) -> list[PeerLoad]:
@@ -192,6 +202,7 @@
         sum(load.requests for load in loads),
         sum(load.tokens for load in loads),
         sum(load.failures for load in loads),
+        sum(load.memory for load in loads),
     )
 
 
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -28,6 +28,9 @@
 TIMEOUT_MARGIN_SECONDS = 0.02
 # Requests that an engine takes beyond its batch, as a part of the batch.
 QUEUE_SHARE = 1.0
+# Part of an endpoint's memory that requests may take: what other routers have just sent there is
+# not known yet, and the most shared prefixes stay cached.
+MEMORY_SHARE = 0.85
 # Oldest weights end this much before the bound, for requests on their way.
 WEIGHTS_MARGIN_SECONDS = 1.0
 # An endpoint that crashed cannot be reached for longer than this.
@@ -195,7 +198,7 @@
         until = min(job.deadline_at, started_at + MAX_WAIT_SECONDS)
         while True:
             now = self.clock.monotonic()
-            choice = self._look(job, now)
+            choice = self._look(job, now, now - started_at < job.route.objective_seconds)
             if choice is not None:
                 job.waited_seconds += now - started_at
                 return choice
@@ -213,7 +216,15 @@
             wait = min(WAIT_SLICE_SECONDS, until - now)
             self.parts.room.wait(job.service, job.rank, job.arrived_at, wait)
 
-    def _look(self, job: jobs.Job, now: float) -> placement.Choice | None:
+    def _look(self, job: jobs.Job, now: float, needs_room: bool) -> placement.Choice | None:
+        """Return where a request may go now.
+
+        Args:
+          job: The request.
+          now: Monotonic seconds.
+          needs_room: Whether it rather waits than takes the memory of others; a request that has
+            waited for its objective takes its chance.
+        """
         table = self.parts.knowledge.endpoints
         states = table.usable(job.service, now)
         states = [s for s in states if s.endpoint.lifetime not in job.tried] or states
@@ -244,6 +255,7 @@
                 and job.route.kind is model.Kind.STREAM
                 and not job.route.is_resumable
             ),
+            memory=int(service.engine.cache_tokens * MEMORY_SHARE) if needs_room else 0,
         )
         return placement.choose_engine(states, need, place, now)
 
@@ -259,13 +271,20 @@
 
     def _attempt(self, job: jobs.Job, choice: placement.Choice, caller):
         state = choice.state
+        prompt = job.request.prompt
+        memory = prompt.memory_tokens if prompt is not None else 0
+        holders = [state] if choice.backup is None else [state, choice.backup]
         state.in_flight += 1
         state.backlog_tokens += choice.read_tokens
+        for holder in holders:
+            holder.memory_tokens += memory
         attempt = exchange.Exchange(self.parts, job, choice, caller, self.routers())
         try:
             return attempt.run()
         finally:
             state.in_flight -= 1
+            for holder in holders:
+                holder.memory_tokens -= memory
             attempt.settle_backlog()
             self.parts.room.wake()
 
--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -46,12 +46,14 @@
       requests: Requests that run or wait there.
       tokens: Prompt tokens that are still to be read.
       failures: Hundredths of recent failures there, fading.
+      memory: Tokens that the requests, and copies of runs, take there at most.
     """
 
     endpoint: str
     requests: int
     tokens: int
     failures: int = 0
+    memory: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -284,7 +286,7 @@
         versions={_typed(name, str): _typed(v, int) for name, v in versions.items()},
         is_following=_typed(is_following, bool),
         roster=_typed(roster, int),
-        loads=_entries(Load, loads, str, int, int, int),
+        loads=_entries(Load, loads, str, int, int, int, int),
         weights=_entries(WeightsNews, weights, str, str, int, bool),
         prefixes=_entries(PrefixNews, prefixes, bytes, int, str, int),
         deaths=tuple(
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -240,6 +240,11 @@
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens of an endpoint's memory that it takes at most."""
+        return self.tokens + self.max_output_tokens
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """Return the parts that other requests may have as well."""
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -29,6 +29,9 @@
 # hash order, and idle ones. The places after them would cost more than half an objective.
 ALL_CANDIDATES = 12
 SHORT_LIST = 5
+# Endpoints with this part of their slots taken need their memory for requests: a copy would have
+# others preempted.
+BACKUP_SHARE = 0.25
 # Bytes between data centres cost little beside a late answer.
 REMOTE_SECONDS = 0.002
 # Each recent failure weighs as this share of a request's time to answer.
@@ -134,6 +137,7 @@
       fresh_weights: Version that the operator has asked for so long that older ones cost.
       capacity: Requests that one endpoint takes.
       is_backed_up: Whether another endpoint is to get a copy of the run's memory.
+      memory: Tokens that running requests may take at one endpoint, 0 for any number.
     """
 
     prompt: model.Prompt
@@ -143,6 +147,7 @@
     fresh_weights: int
     capacity: int
     is_backed_up: bool = False
+    memory: int = 0
 
 
 def choose_engine(states, need: Need, place: Place, now: float) -> Choice | None:
@@ -165,6 +170,8 @@
     ]
     loads = {state.endpoint.id: state.load(now) for state in able}
     ready = [state for state in able if loads[state.endpoint.id][0] < need.capacity] or able
+    if need.memory:
+        ready = [state for state in ready if has_room(state, need, now)]
     choices = []
     for weights in {state.weights[name] for state in ready}:
         same = [state for state in ready if state.weights[name] == weights]
@@ -176,9 +183,28 @@
     return dataclasses.replace(best, considered=len(ready), backup=backup)
 
 
+def has_room(state: endpoints.EndpointState, need: Need, now: float) -> bool:
+    """Return whether a request fits into the memory of an endpoint without preempting another.
+
+    What is preempted has its whole prompt read again. A request that is larger than what is allowed
+    goes to an endpoint that has nothing else.
+    """
+    taken = state.memory(now)
+    return not taken or taken + need.prompt.memory_tokens <= need.memory
+
+
 def choose_backup(ready, best: Choice, name: str, now: float) -> endpoints.EndpointState | None:
-    """Return the least loaded other endpoint with the same weights, near the first by choice."""
-    others = [s for s in ready if s is not best.state and s.weights[name] == best.weights]
+    """Return where a copy of the run's memory goes, None when it would take others' room.
+
+    It is the least loaded other endpoint with the same weights, near the first by choice.
+    """
+    others = [
+        state
+        for state in ready
+        if state is not best.state
+        and state.weights[name] == best.weights
+        and state.load(now)[0] < BACKUP_SHARE * state.endpoint.slots
+    ]
 
     def cost(state: endpoints.EndpointState) -> tuple[float, bool, str]:
         is_remote = state.endpoint.data_centre != best.state.endpoint.data_centre
--- a/bronzemux/gateway/relaying.py
+++ b/bronzemux/gateway/relaying.py
@@ -101,8 +101,9 @@
         else:
             load = state.whole_load(now)
         hundredths = int(100 * load.failures)
-        if load.requests or hundredths:
-            found.append(gossip.Load(key, load.requests, int(load.tokens), hundredths))
+        if load.requests or load.memory or hundredths:
+            tokens = int(load.tokens)
+            found.append(gossip.Load(key, load.requests, tokens, hundredths, load.memory))
     return tuple(found)
 
 
@@ -126,7 +127,8 @@
     for key, state in states.items():
         load = found.get(key)
         if load is not None:
-            known = endpoints.PeerLoad(load.requests, load.tokens, load.failures / 100)
+            failures = load.failures / 100
+            known = endpoints.PeerLoad(load.requests, load.tokens, failures, load.memory)
             state.peer_loads[source] = (known, now)
         elif source is endpoints.TOTAL:
             # Nothing there is news as well: this router's own requests are not to count twice.
--- a/bronzemux/gateway/weights.py
+++ b/bronzemux/gateway/weights.py
@@ -20,6 +20,11 @@
 FOLLOW_SECONDS = 6.0
 # Part of the endpoints that load at the same time; the others serve meanwhile.
 LOADING_SHARE = 0.4
+# With this part of all slots taken, the endpoints that go on serving would get more than they can
+# read in time, so that fewer load at once: four rounds of draining and loading take 7 s, and the
+# shortest bound is 10 s.
+BUSY_SHARE = 0.25
+BUSY_LOADING_SHARE = 0.25
 LEASE_NAME = "orders"
 # Time that an order needs until it has arrived.
 ORDER_SECONDS = 0.3
@@ -162,9 +167,17 @@
             listener()
 
 
-def loading_limit(count: int) -> int:
-    """Return how many of a model's endpoints load at the same time."""
-    return max(1, math.ceil(count * LOADING_SHARE))
+def loading_limit(states: list[endpoints.EndpointState], now: float) -> int:
+    """Return how many of a model's endpoints load at the same time.
+
+    Args:
+      states: Endpoints that can be reached.
+      now: Monotonic seconds.
+    """
+    slots = sum(state.endpoint.slots for state in states)
+    busy = sum(state.load(now)[0] for state in states)
+    share = LOADING_SHARE if busy < BUSY_SHARE * slots else BUSY_LOADING_SHARE
+    return max(1, math.ceil(len(states) * share))
 
 
 def due(
@@ -182,10 +195,11 @@
       followed: Lifetimes whose orders are under way.
       now: Monotonic seconds.
     """
+    states = [s for s in states if not s.is_suspected]
     behind = [s for s in states if s.weights.get(name, 0) < version]
     busy = [s for s in behind if s.endpoint.lifetime in followed]
-    free = [s for s in behind if s.endpoint.lifetime not in followed and not s.is_suspected]
-    room = loading_limit(len(states)) - len(busy)
+    free = [s for s in behind if s.endpoint.lifetime not in followed]
+    room = loading_limit(states, now) - len(busy)
     return sorted(free, key=lambda s: (s.weights.get(name, 0), s.load(now)))[: max(0, room)]
 
 
--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -111,6 +111,31 @@
     Then each prefix is saved to, and fetched from, one store wherever its endpoint is
     And each store has at least 100 prefixes
 
+  Scenario Outline: Load pattern "memory is short": what would have others preempted waits
+    Given 2 model endpoints that hold nothing
+    And running requests take <first> and <second> tokens of 10000 there
+    When a request of 3000 tokens that may take up to 8500 tokens is placed
+    Then it goes to <where>
+
+    Examples:
+      | first | second | where             |
+      | 0     | 0      | either endpoint   |
+      | 6000  | 5000   | endpoint 2        |
+      | 6000  | 6000   | no endpoint yet   |
+      | 6000  | 0      | endpoint 2        |
+
+  Scenario: A request that is larger than what is allowed goes to an endpoint that has nothing else
+    Given 2 model endpoints that hold nothing
+    And running requests take 100 and 0 tokens of 10000 there
+    When a request of 9000 tokens that may take up to 8500 tokens is placed
+    Then it goes to endpoint 2
+
+  Scenario: Load pattern "memory is short": no copies are made where requests need the room
+    Given 3 model endpoints that hold nothing
+    And each has 2 of 6 slots taken
+    When a request that may not be begun anew is placed at endpoint 1
+    Then no copy is made
+
   Scenario Outline: A copy of a run's memory goes to another endpoint with the same weights
     Given 3 model endpoints that hold nothing
     And endpoint 2 <is>
@@ -120,6 +145,6 @@
     Examples:
       | is                        |
       | has weights 2             |
-      | has 5 requests            |
+      | has 1 requests            |
       | has failed 3 times        |
       | is in another data centre |
--- a/features/gateway_weights.feature
+++ b/features/gateway_weights.feature
@@ -8,6 +8,18 @@
     And every order names the holder, its token and the orders accepted before
     And every endpoint was ordered once
 
+  Scenario Outline: Load pattern "rollout under load": fewer load while the others are busy or away
+    Given a rollout of version 4 over 10 endpoints with weights 3
+    And <what>
+    When the orderer runs until all that can be reached have the weights
+    Then at most <most> endpoints loaded at a time
+
+    Examples:
+      | what                                  | most |
+      | each endpoint has 1 requests          | 4    |
+      | each endpoint has 3 requests          | 3    |
+      | 3 of the endpoints are out of reach   | 3    |
+
   Scenario: A version that is named meanwhile replaces the one before
     Given a rollout of version 4 over 5 endpoints with weights 3
     When version 5 is named while the first endpoints load
--- a/features/steps/gateway_beliefs_steps.py
+++ b/features/steps/gateway_beliefs_steps.py
@@ -245,7 +245,7 @@
         {"op": 5, "servers": 9},
         True,
         12345,
-        (gossip.Load("lm-1", 3, 120, 250),),
+        (gossip.Load("lm-1", 3, 120, 250, 9000),),
         (gossip.WeightsNews("lm-1/1", "m1", 4, True),),
         (gossip.PrefixNews(b"12345678", 50, "lm-1/1", 250),),
         (gossip.DeathNews("lm-1/1", ("aa", "bb")),),
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -417,8 +417,8 @@
     state = context.states[1]
     if condition == "has weights 2":
         state.weights[MODEL] = 2
-    elif condition == "has 5 requests":
-        state.in_flight = 5
+    elif condition == "has 1 requests":
+        state.in_flight = 1
     elif condition == "has failed 3 times":
         for _ in range(3):
             state.record_failure(1.0)
@@ -436,3 +436,40 @@
 @then("its copy goes to endpoint {number:d}")
 def step_copy(context, number):
     assert context.backup is context.states[number - 1]
+
+
+@given("each has {count:d} of 6 slots taken")
+def step_taken(context, count):
+    for state in context.states:
+        assert state.endpoint.slots == 6
+        state.in_flight = count
+
+
+@then("no copy is made")
+def step_no_copy(context):
+    assert context.backup is None
+
+
+@given("running requests take {first:d} and {second:d} tokens of 10000 there")
+def step_memory(context, first, second):
+    source = endpoints.Source("vm-2")
+    context.states[0].memory_tokens = first
+    context.states[1].peer_loads[source] = (endpoints.PeerLoad(memory=second), 1.0)
+
+
+@when("a request of {tokens:d} tokens that may take up to {most:d} tokens is placed")
+def step_place_large(context, tokens, most):
+    place = placement.Place("a", context.index, context.stores)
+    prompt = model.Prompt(MODEL, tokens - 10, 10)
+    need = placement.Need(prompt, "", OBJECTIVE_SECONDS, 0, 0, 128, memory=most)
+    context.choice = placement.choose_engine(context.states, need, place, 1.1)
+
+
+@then("it goes to {where}")
+def step_goes(context, where):
+    if where == "no endpoint yet":
+        assert context.choice is None
+    elif where == "endpoint 2":
+        assert context.choice.state is context.states[1]
+    else:
+        assert context.choice is not None
--- a/features/steps/gateway_weights_steps.py
+++ b/features/steps/gateway_weights_steps.py
@@ -330,3 +330,28 @@
     began = seen.index(True) if True in seen else len(seen)
     assert all(seen[began:]), context.loading_seen
     assert began <= 2, context.loading_seen
+
+
+@given("each endpoint has {count:d} requests")
+def step_each_has(context, count):
+    for state in context.known.endpoints.states.values():
+        state.in_flight = count
+
+
+@given("{count:d} of the endpoints are out of reach")
+def step_away(context, count):
+    context.away = sorted(context.known.endpoints.states)[:count]
+    for name in context.away:
+        context.known.endpoints.states[name].is_suspected = True
+
+
+@when("the orderer runs until all that can be reached have the weights")
+def step_run_reachable(context):
+    away = getattr(context, "away", [])
+    engines = context.calls.engines
+    for _ in range(MAX_STEPS):
+        run_step(context)
+        if all(e.version >= context.version for n, e in engines.items() if n not in away):
+            break
+    found = {name: engine.version for name, engine in engines.items()}
+    assert all((found[n] >= context.version) == (n not in away) for n in found), found
