Ignore SIGHUP while a gateway is being loaded, and give up unanswered long polls of the store after 3 s

Now 2 s of waiting and 1 s of margin are the 3 s after which the store counts as stable again; a call that timed out is repeated at once.

--- a/bronzemux/cli_gateway.py
+++ b/bronzemux/cli_gateway.py
@@ -1,11 +1,16 @@
 """Command bronzemux-gateway: one gateway on the users' platform."""
 
+import signal
+
+# A reload that comes while the program is still being loaded must not end it; the settings are read
+# after that.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from gevent import monkey
 
 monkey.patch_all()
 
 import dataclasses
-import signal
 import sys
 
 import gevent.event
--- a/bronzemux/gateway/feed.py
+++ b/bronzemux/gateway/feed.py
@@ -76,6 +76,10 @@
                 batch = self._next_batch()
             except errors.PlatformError as error:
                 self._fail(error)
+                if self.is_up is False:
+                    # A call that was waited for needs no further pause.
+                    pause = RETRY_SECONDS * self.random.uniform(0.75, 1.25)
+                    self.clock.sleep(max(0.0, pause - (self.clock.monotonic() - started_at)))
                 continue
             self._report(True)
             self.on_batch(self.table, batch)
@@ -94,7 +98,6 @@
     @functools.singledispatchmethod
     def _fail(self, error) -> None:
         self._report(False, str(error))
-        self.clock.sleep(RETRY_SECONDS * self.random.uniform(0.75, 1.25))
 
     @_fail.register
     def _history_lost(self, error: rows.HistoryLostError) -> None:
--- a/bronzemux/platform/assembly.py
+++ b/bronzemux/platform/assembly.py
@@ -3,8 +3,9 @@
 from bronzemux.gateway import gateway, settings
 from bronzemux.platform import documents, engines, headers, pages, store
 
-# A silent connection to the store is noticed after this; peers tell of changes meanwhile.
-FEED_WAIT_SECONDS = 8.0
+# A call that the store never answers, as it was down when the call came, is given up after this and
+# `store.FEED_MARGIN_SECONDS`: together the 3 s after which the store counts as stable again.
+FEED_WAIT_SECONDS = 2.0
 
 
 def platform(config: settings.GatewaySettings) -> gateway.Platform:
--- a/bronzemux/platform/store.py
+++ b/bronzemux/platform/store.py
@@ -12,8 +12,9 @@
 CONNECT_SECONDS = 1.0
 # Answers take 4 ms, and up to a hundred times as long on a slow day.
 ANSWER_SECONDS = 2.0
-# Answers may be late by the time of a slow link; the wait itself is part of the call.
-FEED_MARGIN_SECONDS = 2.0
+# Answers may be late by a hundred times the usual 4 ms, and by a slow link; the wait itself is part
+# of the call.
+FEED_MARGIN_SECONDS = 1.0
 # Most rows of one answer.
 PAGE_ROWS = 500
 OWN_TABLE = "bronzemux"
--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -121,6 +121,16 @@
     Then the caller got the events 1 to 2 in order and an answer that is not whole
     And "lm-2" ran no request that "lm-1" ran
 
+  Scenario: Engines that take no copies get none
+    Given a configuration whose engines take no copies
+    When the request "POST /draft/1" is sent until "lm-1" ran one
+    Then the caller got the events 1 to 6 in order and an answer that is whole
+    And no request named a place for a copy
+
+  Scenario: A request that may be begun anew needs no copy
+    When the request "POST /classify/1" is sent until "lm-1" ran one
+    Then no request named a place for a copy
+
   Scenario: A stream goes on where the caller asks
     When the request "POST /classify/1" is sent with the fields
       | name          | value |
--- a/features/gateway_platform.feature
+++ b/features/gateway_platform.feature
@@ -48,6 +48,11 @@
     When the store forgets its history while the operator writes configuration 2 with "/late/"
     Then the first gateway serves "/late/1" within 2 seconds
 
+  Scenario: A call that the store never answers hides nothing for longer than the store is unstable
+    Given the store never answers the call that is made next
+    When the endpoint "app-1" reports "draining" to the store
+    Then the gateway knows within 3.3 seconds that "app-1" leaves
+
   Scenario: The directory names the routers that are ready
     Given another gateway
     Then the directory of each gateway names both routers
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,10 @@
   Scenario: Every seed that ever failed is run for as long as it took
     Then the seeds of features/soak_seeds.txt keep every promise
 
+  Scenario: A reload that comes while a gateway is being loaded does not end it
+    When a gateway gets SIGHUP from the time it ignores it until it has started
+    Then it has started, and lives
+
   Scenario: A sound history breaks nothing
     Given a history of sound requests
     Then the checker finds nothing
--- a/features/soak.py
+++ b/features/soak.py
@@ -12,6 +12,7 @@
 
 import argparse
 import dataclasses
+import datetime
 import itertools
 import json
 import os
@@ -189,6 +190,7 @@
 
     def __init__(self, seed: int, folder: pathlib.Path):
         self.random = random.Random(seed)
+        self.folder = folder
         self.history = soak_checker.History()
         self.store = standin_store.StandInStore()
         self.store.start()
@@ -289,9 +291,18 @@
         # It counts as going on until it is known to have ended.
         self.history.faults.append(dataclasses.replace(fault, ended_at=began_at + 60.0))
         place = len(self.history.faults) - 1
+        self._note(f"{name} begins", process, worker)
         FAULTS[name](self, process, worker, seconds)
+        self._note(f"{name} ended", process, worker)
         self.history.faults[place] = dataclasses.replace(fault, ended_at=time.monotonic())
 
+    def _note(self, what: str, process: Process, worker: Worker) -> None:
+        """Write what is done to whom beside the logs of the gateways, for the trace of a failure."""
+        child = process.child.pid if process.child is not None else None
+        moment = datetime.datetime.now(datetime.UTC).isoformat(timespec="milliseconds")
+        with open(self.folder / "faults.log", "a", encoding="utf-8") as log:
+            log.write(f"time={moment} {what} {process.name} pid={child} {worker.identity}\n")
+
     def _terminate(self, process, worker, seconds) -> None:
         if process.is_paused:
             return
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -144,6 +144,21 @@
     assert "kv-from" not in first.fields and "kv-backup" not in second.fields
 
 
+@given("a configuration whose engines take no copies")
+def step_no_copies(context):
+    document = gateway_support.configuration(2)
+    document["services"][1]["engine"]["backups"] = False
+    context.site.store.put("op", "config", document)
+    made = context.site.gateways[0]
+    gateway_support.wait_for(lambda: made.knowledge.configuration.version == 2)
+
+
+@then("no request named a place for a copy")
+def step_no_place(context):
+    assert runs(context)
+    assert not any("kv-backup" in seen.fields for seen in runs(context))
+
+
 @then('"{second}" ran no request that "{first}" ran')
 def step_not_continued(context, second, first):
     ran = [{s.fields["request-id"] for s in context.site.workers[n].ran} for n in (first, second)]
--- a/features/steps/gateway_platform_steps.py
+++ b/features/steps/gateway_platform_steps.py
@@ -324,3 +324,26 @@
     assert context.seconds < seconds
     assert context.stream.dropped > 0
     assert len(context.stream.waiting) <= logs.MAX_WAITING_CHARACTERS
+
+
+@given("the store never answers the call that is made next")
+def step_unanswered(context):
+    store_, worker = context.site.store, context.site.workers["app-2"]
+    before = store_.calls.get("/-/rows-feed", 0)
+    store_.fault = standin_store.Fault.SILENT
+    store_.put("servers", "app-2", worker.entry(sequence=2))
+    gateway_support.wait_for(lambda: store_.calls.get("/-/rows-feed", 0) > before)
+    gevent.sleep(0.05)
+    store_.fault = standin_store.Fault.NONE
+
+
+@when('the endpoint "{name}" reports "{state}" to the store')
+def step_report(context, name, state):
+    entry = context.site.workers[name].entry(state=state, sequence=2)
+    context.site.store.put("servers", name, entry)
+
+
+@then('the gateway knows within {seconds:g} seconds that "{name}" leaves')
+def step_knows(context, seconds, name):
+    states = context.site.gateways[0].endpoints.states
+    gateway_support.wait_for(lambda: states[name].endpoint.is_draining, seconds)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,9 +1,14 @@
 """Steps for the soak and its checker."""
 
 import pathlib
+import shutil
+import signal
+import tempfile
 
+import gevent
 from behave import given, then, when
 
+from bronzemux.platform import standin_store
 from features import soak, soak_checker
 
 START = 100.0
@@ -14,6 +19,44 @@
     context.broken = soak.run_seed(seed, seconds)
 
 
+def masks_hangup(pid: int, name: str) -> bool:
+    """Return whether a mask of a process, SigIgn or SigCgt, holds SIGHUP."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines():
+        if line.startswith(name + ":"):
+            return bool(int(line.split()[1], 16) >> (signal.SIGHUP - 1) & 1)
+    return False
+
+
+@when("a gateway gets SIGHUP from the time it ignores it until it has started")
+def step_hangup(context):
+    store = standin_store.StandInStore()
+    store.start()
+    folder = pathlib.Path(tempfile.mkdtemp())
+    process = soak.Process("vm-0", store.address, folder, soak.FIRST_PORT - soak.PORTS_EACH)
+    process.write_settings([])
+    context.process, context.log = process, folder / "vm-0.log"
+    context.cleanups += [
+        lambda: shutil.rmtree(folder),
+        store.stop,
+        lambda: process.stop(signal.SIGKILL, 5.0),
+    ]
+    process.start()
+    with gevent.Timeout(20.0):
+        while not masks_hangup(process.child.pid, "SigIgn"):
+            assert not masks_hangup(process.child.pid, "SigCgt"), "it was never ignored"
+            gevent.sleep(0.002)
+        while "gateway_started" not in context.log.read_text(encoding="utf-8"):
+            process.signal(signal.SIGHUP)
+            assert process.child.poll() is None, "the signal ended it"
+            gevent.sleep(0.01)
+
+
+@then("it has started, and lives")
+def step_lives(context):
+    gevent.sleep(0.2)
+    assert context.process.child.poll() is None
+
+
 @then("no promise is broken")
 def step_nothing(context):
     assert context.broken == [], context.broken
