Encode and decode gossip by columns

Cause: a status message with the loads of 62 endpoints took 0.70 ms to encode and 0.45 ms to decode; relays send several each tenth of a second, and each router decodes eight or more a second. Change: types are checked a column at a time, plain entries are taken out by attrgetter; the bytes are the same (compared on messages of all kinds). Existing scenarios of round trips and malformed messages pass.

--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -1,6 +1,8 @@
 """Messages between gateways, as frozen data classes encoded in CBOR."""
 
 import dataclasses
+import itertools
+import operator
 
 import cbor2
 
@@ -221,18 +223,32 @@
     "rows-reply": RowsReply,
     "rows-change": RowsChange,
 }
+KIND_BY_TYPE = {kind: name for name, kind in KINDS.items()}
+FIELD_NAMES = {
+    kind: tuple(field.name for field in dataclasses.fields(kind))
+    for kind in (*KINDS.values(), Router, CrashUpdate, rows.Batch)
+}
+# Types whose values are all plain, with a function that returns them as a tuple. Messages contain
+# many of them.
+FLAT_TYPES = {
+    kind: operator.attrgetter(*(field.name for field in dataclasses.fields(kind)))
+    for kind in (Load, PrefixUpdate, WeightsUpdate, rows.Row)
+}
 
 
 def encode(message) -> bytes:
     """Return the encoded bytes of a message."""
-    kind = next(name for name, known in KINDS.items() if isinstance(message, known))
-    return cbor2.dumps([kind, _encode_values(message)])
+    return cbor2.dumps([KIND_BY_TYPE[type(message)], _encode_values(message)])
 
 
 def _encode_values(item):
-    if dataclasses.is_dataclass(item):
-        return [_encode_values(getattr(item, field.name)) for field in dataclasses.fields(item)]
-    if isinstance(item, tuple):
+    """Return a message or a part of one as nested lists and tuples of its values."""
+    names = FIELD_NAMES.get(type(item))
+    if names is not None:
+        return [_encode_values(getattr(item, name)) for name in names]
+    if type(item) is tuple and item and type(item[0]) in FLAT_TYPES:
+        return list(map(FLAT_TYPES[type(item[0])], item))
+    if type(item) is tuple:
         return [_encode_values(entry) for entry in item]
     return item
 
@@ -326,10 +342,15 @@
 
 def _decode_entries(kind: type, values, *types: type) -> tuple:
     """Return instances of a data class from lists of plain values, whose types are checked."""
-    return tuple(
-        kind(*(_check_type(value, known) for value, known in zip(item, types, strict=True)))
-        for item in values
-    )
+    if not isinstance(values, list):
+        raise TypeError(f"got {type(values).__name__}, expected a list")
+    if not values:
+        return ()
+    for column, expected in zip(zip(*values, strict=True), types, strict=True):
+        for found in set(map(type, column)):
+            if found is not expected:
+                raise TypeError(f"got {found.__name__}, expected {expected.__name__}")
+    return tuple(itertools.starmap(kind, values))
 
 
 def _decode_router(values) -> Router:
