Let three relays follow the store for all routers

An idle feed also woke ten times a second to ask whether it was needed. Found on the way: rows that expire during an outage were kept by the routers that follow the store, but removed at once by all others. Change: the first three relays, in different data centres, follow the store and send changed rows to all relays. The others replace them by rank when none is heard for 1 s; routers that are no relays last, spread by number. Only relays among them contend for the lease. A feed waits on an event. Rows carry whether their removal may be a lapse. The scenario of the lapse fails on the code before: 21 of 24 routers removed the endpoint. The scenario that wanted all relays to follow the store is replaced by one that wants exactly three in different data centres, at 24, 195 and 300 routers.

--- a/bronzemux/gateway/cluster_state.py
+++ b/bronzemux/gateway/cluster_state.py
@@ -89,6 +89,8 @@
       store_lost_at: Monotonic seconds at which the store stopped answering, None while it answers
         or is not queried; by table.
       store_recovered_at: Monotonic seconds at which the store last became available again.
+      lapse_reported_at: Monotonic seconds at which a peer last sent rows that may be missing only
+        because of an outage of the store.
       pending_removals: Monotonic seconds at which an endpoint without an entry is removed, by key.
       on_change: Called after the state has changed.
       on_rows: Called with the rows that changed a replica.
@@ -115,20 +117,27 @@
         self.last_contact_at = -1e9
         self.store_lost_at: dict[str, float | None] = {}
         self.store_recovered_at = -1e9
+        self.lapse_reported_at = -1e9
         self.pending_removals: dict[str, float] = {}
         self.on_change: list[Callable[[], None]] = []
         self.on_rows: list[Callable[[AppliedRows], None]] = []
         self.followed_tables: set[str] = set()
 
-    def apply_rows(self, name: str, batch: rows.Batch, source: str) -> None:
+    def apply_rows(
+        self, name: str, batch: rows.Batch, source: str, is_lapse_possible: bool = False
+    ) -> None:
         """Apply rows that the store or a peer sent.
 
         Args:
           name: Name of the table.
           batch: The rows.
           source: Origin of the rows, for logs.
+          is_lapse_possible: Whether the sender reports that missing rows may only have expired
+            during an outage of the store.
         """
         self.last_contact_at = self.clock.monotonic()
+        if is_lapse_possible:
+            self.lapse_reported_at = self.last_contact_at
         replica = self.replicas[name]
         after, was_read = replica.changed_version, replica.version >= 0
         changed = replica.apply(batch)
@@ -231,10 +240,7 @@
             )
 
     def _apply_removal(self, row: rows.Row, now: float, source: str) -> None:
-        is_lapse_possible = (
-            self.is_store_unavailable() or now - self.store_recovered_at < REMOVAL_DELAY_SECONDS
-        )
-        if is_lapse_possible and row.key in self.endpoints.states:
+        if self.is_lapse_possible() and row.key in self.endpoints.states:
             self.pending_removals[row.key] = now + REMOVAL_DELAY_SECONDS
             outcome = "kept until the store has been available for a while"
         else:
@@ -272,6 +278,14 @@
         """Return whether the store has stopped answering this router."""
         return any(at is not None for at in self.store_lost_at.values())
 
+    def is_lapse_possible(self) -> bool:
+        """Return whether a missing entry may only have expired during an outage of the store."""
+        last_outage_at = max(self.store_recovered_at, self.lapse_reported_at)
+        return (
+            self.is_store_unavailable()
+            or self.clock.monotonic() - last_outage_at < REMOVAL_DELAY_SECONDS
+        )
+
     def is_complete(self) -> bool:
         """Return whether a configuration is in force and the endpoint table has been read."""
         is_read = self.replicas[self.documents.endpoint_table].version >= 0
--- a/bronzemux/gateway/feed.py
+++ b/bronzemux/gateway/feed.py
@@ -9,8 +9,6 @@
 from bronzemux import errors, logs, supervisor
 from bronzemux.gateway import rows
 
-# Interval at which a feed that is not needed checks whether it is needed now.
-NEEDED_POLL_SECONDS = 0.1
 # Pause after a failed call. Reading the whole table and following its changes together may use half
 # of the time within which a new configuration must take effect.
 RETRY_SECONDS = 0.4
@@ -41,6 +39,8 @@
       on_contact: Called with a `StoreContact` when the store becomes unreachable or reachable.
       is_needed: Returns whether this router has to read from the store itself, rather than get the
         rows from other routers.
+      wait_until_needed: Waits until that is so; it may return earlier.
+      get_pause_factor: Returns the factor by which pauses after failed calls are extended.
     """
 
     def __init__(
@@ -52,6 +52,8 @@
         on_batch,
         on_contact,
         is_needed: Callable[[], bool] = lambda: True,
+        wait_until_needed: Callable[[], object] = lambda: None,
+        get_pause_factor: Callable[[], float] = lambda: 1.0,
     ):
         super().__init__(f"feed-{name}", clock)
         self.table = name
@@ -61,6 +63,8 @@
         self.on_batch = on_batch
         self.on_contact = on_contact
         self.is_needed = is_needed
+        self.wait_until_needed = wait_until_needed
+        self.get_pause_factor = get_pause_factor
         self.is_up: bool | None = None
         self.must_read_table = True
         self.random = random.Random(name)
@@ -71,7 +75,7 @@
         while True:
             if not self.is_needed():
                 self._report_contact(None, "rows come from other routers")
-                self.clock.sleep(NEEDED_POLL_SECONDS)
+                self.wait_until_needed()
                 continue
             started_at = self.clock.monotonic()
             try:
@@ -81,6 +85,7 @@
                 if self.is_up is False:
                     # The time that the failed call took counts towards the pause.
                     pause = RETRY_SECONDS * self.random.uniform(0.75, 1.25)
+                    pause *= self.get_pause_factor()
                     self.clock.sleep(max(0.0, pause - (self.clock.monotonic() - started_at)))
                 continue
             self._report_contact(True)
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -109,16 +109,19 @@
     def tick(self) -> None:
         """Register this router and look up the others.
 
-        When there are many routers, only relays do this: new routers find the relays first, which
-        then announce the other routers by gossip.
+        When there are many routers, only relays register: new routers find the relays first, which
+        then announce the other routers by gossip. Only those that follow the store look up others.
         """
         now = self.clock.monotonic()
-        if now < self.retry_at or not self.gateway.peering.must_follow_store():
+        if now < self.retry_at:
             return
+        is_follower = self.gateway.peering.must_follow_store()
         try:
-            if not self.is_registered:
+            if not self.is_registered and (
+                is_follower or self.gateway.routers.is_proven_relay(now)
+            ):
                 self._register()
-            if now >= self.next_lookup_at:
+            if is_follower and now >= self.next_lookup_at:
                 self._look_up_routers()
                 self.next_lookup_at = now + ROUTER_LOOKUP_SECONDS
         except errors.PlatformError as error:
@@ -214,7 +217,7 @@
             self._lease(boot_ms),
             platform.endpoint_control,
             self.meters,
-            self.peering.must_follow_store,
+            self.peering.may_order_weights,
         )
 
     def _lease(self, boot_ms: int) -> lease.Lease:
@@ -286,7 +289,9 @@
             lambda: replica.version,
             on_batch,
             on_contact,
-            self.peering.must_follow_store,
+            self.peering.must_follow.is_set,
+            self.peering.must_follow.wait,
+            self.peering.poll_factor,
         )
 
     def _start_admin_servers(self) -> None:
--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -190,10 +190,12 @@
     Attributes:
       table: Name of the table.
       batch: Snapshot of the table.
+      is_lapse_possible: Whether missing rows may only have expired during an outage of the store.
     """
 
     table: str
     batch: rows.Batch
+    is_lapse_possible: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -204,11 +206,13 @@
       table: Name of the table.
       after: Version of the newest change that the sender had before.
       batch: The changed rows.
+      is_lapse_possible: Whether removed rows may only have expired during an outage of the store.
     """
 
     table: str
     after: int
     batch: rows.Batch
+    is_lapse_possible: bool = False
 
 
 # Routers whose requests the loads of a status message cover; the values of `relaying.Scope`.
@@ -380,13 +384,20 @@
 
 
 def _decode_rows_reply(values) -> RowsReply:
-    table, batch = _check_length(values, 2)
-    return RowsReply(_check_type(table, str), _decode_batch(batch))
+    table, batch, is_lapse_possible = _check_length(values, 3)
+    return RowsReply(
+        _check_type(table, str), _decode_batch(batch), _check_type(is_lapse_possible, bool)
+    )
 
 
 def _decode_rows_change(values) -> RowsChange:
-    table, after, batch = _check_length(values, 3)
-    return RowsChange(_check_type(table, str), _check_type(after, int), _decode_batch(batch))
+    table, after, batch, is_lapse_possible = _check_length(values, 4)
+    return RowsChange(
+        _check_type(table, str),
+        _check_type(after, int),
+        _decode_batch(batch),
+        _check_type(is_lapse_possible, bool),
+    )
 
 
 def _decode_batch(values) -> rows.Batch:
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -5,8 +5,11 @@
 
 import dataclasses
 import functools
+import zlib
 from collections.abc import Callable
 
+import gevent.event
+
 from bronzemux import errors, logs, peers, supervisor
 from bronzemux.gateway import (
     cache_index,
@@ -39,6 +42,17 @@
 # follows the store. Including the read, this is well below the time within which a configuration
 # must be in force.
 RELAY_TIMEOUT_SECONDS = 1.0
+# Until then, a router that hears of a follower leaves the store to it, because it may not know enough
+# routers yet to see that it is no relay.
+SETTLING_SECONDS = 3.0
+# Relays that follow the store, in a deployment with more routers than a full mesh has; the loss of
+# two is tolerated.
+STORE_FOLLOWERS = 3
+# Additional delay, per rank, of the relays that replace followers.
+FOLLOWER_RANK_SECONDS = 0.05
+# Additional delay of the other routers, per router of the deployment: of N routers that lose their
+# relays at the same time, the first reads the store at once and the last after N times this.
+TAKEOVER_SPREAD_SECONDS = 0.02
 # Time for which a router that has just started relies on its peers only: a few times the duration
 # of three consecutive round trips between data centres.
 PEERS_ONLY_SECONDS = 0.3
@@ -85,8 +99,10 @@
       roster_requested_at: Monotonic seconds of the last request for the roster of a router, by its
         name.
       replied_at: Monotonic seconds of the last request or reply to a router, by peer address.
-      follower_seen_at: Monotonic seconds of the last status message from a router that follows the
-        store.
+      follower_seen_at: Monotonic seconds of the last status message by which a relay follows the
+        store or hears from one that does.
+      preceding_follower_seen_at: The same, from relays before this one in the order of followers.
+      must_follow: Set while this router has to access the store itself.
       announced_at: Monotonic seconds at which status messages were last sent.
       next_regular_at: Monotonic seconds at which the next regular status messages are due.
 
@@ -123,6 +139,8 @@
         self.roster_requested_at: dict[str, float] = {}
         self.replied_at: dict[str, float] = {}
         self.follower_seen_at = -1e9
+        self.preceding_follower_seen_at = -1e9
+        self.must_follow = gevent.event.Event()
         self.started_at = self.clock.monotonic()
         self.repeat_filter = logs.RepeatFilter(self.clock)
         self.server: peers.PeerServer | None = None
@@ -174,9 +192,11 @@
     def must_follow_store(self) -> bool:
         """Return whether this router has to access the store, for rows and leases, itself.
 
-        Relays have to. The others get the rows from relays while they receive messages of a router
-        that follows the store. Of routers that start together and do not know each other yet, those
-        with the most CPU capacity access the store first.
+        In a full mesh all routers have to. Otherwise `STORE_FOLLOWERS` relays have to, and the
+        others get the rows from these, either directly or through the relays of their data centre.
+        Each router replaces the followers when it does not hear of one any more. Of routers that
+        start together and do not know each other yet, those with the most CPU capacity access the
+        store first.
         """
         now = self.clock.monotonic()
         has_other_seeds = any(
@@ -187,11 +207,39 @@
         age = now - self.started_at
         if age < PEERS_ONLY_SECONDS:
             return False
-        if self.table.is_relay(now) and (
-            age >= RELAY_TIMEOUT_SECONDS or self.table.is_top_ranked(now)
-        ):
+        rank = self.table.store_rank(now)
+        is_settled = age >= SETTLING_SECONDS or self.table.is_top_ranked(now)
+        if rank is not None and rank < STORE_FOLLOWERS and is_settled:
             return True
-        return age >= RELAY_TIMEOUT_SECONDS and now - self.follower_seen_at > RELAY_TIMEOUT_SECONDS
+        if age < RELAY_TIMEOUT_SECONDS:
+            return False
+        if rank is None:
+            seen_at, delay = self.follower_seen_at, self._takeover_delay()
+        else:
+            seen_at, delay = self.preceding_follower_seen_at, rank * FOLLOWER_RANK_SECONDS
+        return now - max(seen_at, self.started_at) > RELAY_TIMEOUT_SECONDS + delay
+
+    def may_order_weights(self) -> bool:
+        """Return whether this router may contend for the lease for orders to endpoints."""
+        is_relay = self.table.store_rank(self.clock.monotonic()) is not None
+        return is_relay and self.must_follow_store()
+
+    def _takeover_delay(self) -> float:
+        """Return by how many seconds this router, which is no relay, lets others go first."""
+        count = 1 + len(self.table.known)
+        position = zlib.crc32(self.table.own.name.encode()) % count
+        return position * TAKEOVER_SPREAD_SECONDS
+
+    def poll_factor(self) -> float:
+        """Return by how much this router extends its pauses between failed calls to the store.
+
+        A router that is no relay does so by the number of routers, so that all of them together
+        call the store at the same rate in a deployment of any size.
+        """
+        now = self.clock.monotonic()
+        if self.table.store_rank(now) is not None:
+            return 1.0
+        return max(1.0, (1 + len(self.table.known)) / routers.MAX_MESH_ROUTERS)
 
     def _on_crash(self, incarnation: str, fingerprints: list[str]) -> None:
         self.crashes.add(gossip.CrashUpdate(incarnation, tuple(fingerprints)))
@@ -201,13 +249,28 @@
         self.request_announcement()
 
     def _on_rows(self, change: cluster_state.AppliedRows) -> None:
-        """Send changed rows to the routers for which this router is the relay."""
+        """Send changed rows to the routers that get them from this one.
+
+        A router that follows the store sends them to all its status targets, a relay that does not
+        sends them to the routers that it relays to.
+        """
         now = self.clock.monotonic()
-        local = [r for r in self.table.status_targets(now) if self.table.is_relayed_to(r, now)]
-        if not local:
+        if self.table.current_topology(now).is_mesh:
             return
-        message = gossip.encode(gossip.RowsChange(change.table, change.after, change.batch))
-        for router in local:
+        is_follower = change.table in self.cluster_state.followed_tables
+        targets = [
+            router
+            for router in self.table.status_targets(now)
+            if is_follower or self.table.is_relayed_to(router, now)
+        ]
+        if not targets:
+            return
+        message = gossip.encode(
+            gossip.RowsChange(
+                change.table, change.after, change.batch, self.cluster_state.is_lapse_possible()
+            )
+        )
+        for router in targets:
             self._send(router.peer_address, message)
 
     # Sending
@@ -221,7 +284,14 @@
             self.table.remove_silent(now)
             self._record_members(now)
         self.next_tick = self.next_regular_at
+        peers_only_until = self.started_at + PEERS_ONLY_SECONDS
+        if now < peers_only_until:
+            self.next_tick = min(self.next_tick, peers_only_until)
         self._announce(now, is_regular)
+        if self.must_follow_store():
+            self.must_follow.set()
+        else:
+            self.must_follow.clear()
 
     def _record_members(self, now: float) -> None:
         self.table.alive(now)
@@ -308,7 +378,7 @@
             router=router,
             scope=relaying.SCOPE_BY_AUDIENCE[audience].value,
             table_versions=self._table_versions(),
-            is_following=self.cluster_state.is_following(),
+            is_following=self._announces_follower(audience, now),
             roster_checksum=routers.checksum(roster) if roster else 0,
             loads=relaying.loads_for(self.cluster_state.endpoints.states, audience, now),
             weights=self.weights_tracker.updates_for(audience),
@@ -324,6 +394,34 @@
             cache_store_epochs=self._cache_store_epochs(audience),
         )
 
+    def _announces_follower(self, audience: routers.Audience, now: float) -> bool:
+        """Return whether an audience can rely on this router for the rows of the store.
+
+        A relay also states this to the routers that it relays to while it hears directly from
+        another relay that follows the store.
+        """
+        if self.cluster_state.is_following():
+            return True
+        is_recent = now - self.follower_seen_at < RELAY_TIMEOUT_SECONDS
+        return is_recent and relaying.has_full_scope(audience)
+
+    def _record_follower(self, message: gossip.Status, now: float) -> None:
+        """Record that a router follows the store or, if it is a relay of this one, hears of one."""
+        topology = self.table.current_topology(now)
+        name = message.router.name
+        own_rank = self.table.store_rank(now)
+        if own_rank is None or topology.is_mesh:
+            self.follower_seen_at = self.preceding_follower_seen_at = now
+            return
+        if name not in topology.store_order:
+            return
+        # A statement about other routers is not repeated, as two relays could repeat it to each
+        # other forever.
+        if relaying.Scope(message.scope) is not relaying.Scope.ALL:
+            self.follower_seen_at = now
+        if topology.store_order.index(name) < own_rank:
+            self.preceding_follower_seen_at = now
+
     def _cache_store_epochs(self, audience: routers.Audience) -> tuple[tuple[str, int], ...]:
         """Return the epochs of the cache stores to report to an audience.
 
@@ -395,7 +493,7 @@
             if address != self.watched_store():
                 self.components.index.record_store_epoch(address, epoch)
         if message.is_following:
-            self.follower_seen_at = now
+            self._record_follower(message, now)
         self._compare_tables(message, now)
 
     def _compare_rosters(self, message: gossip.Status, now: float) -> None:
@@ -487,7 +585,9 @@
     def _handle_rows_request(self, message: gossip.RowsRequest) -> None:
         replica = self.cluster_state.replicas.get(message.table)
         if replica is not None and replica.version >= 0:
-            reply = gossip.RowsReply(message.table, replica.snapshot())
+            reply = gossip.RowsReply(
+                message.table, replica.snapshot(), self.cluster_state.is_lapse_possible()
+            )
             self.replied_at[message.reply_to] = self.clock.monotonic()
             self._send(message.reply_to, gossip.encode(reply))
 
@@ -497,7 +597,9 @@
             return
         batch = message.batch
         snapshot_batch = rows.Batch(batch.rows, batch.version, is_snapshot=True)
-        self.cluster_state.apply_rows(message.table, snapshot_batch, "peer")
+        self.cluster_state.apply_rows(
+            message.table, snapshot_batch, "peer", message.is_lapse_possible
+        )
 
     @handle.register
     def _handle_rows_change(self, message: gossip.RowsChange) -> None:
@@ -505,4 +607,6 @@
         if replica is None or message.batch.is_snapshot or replica.changed_version < message.after:
             # The next status message reveals the missing changes, and all rows are requested then.
             return
-        self.cluster_state.apply_rows(message.table, message.batch, "relay")
+        self.cluster_state.apply_rows(
+            message.table, message.batch, "relay", message.is_lapse_possible
+        )
--- a/bronzemux/gateway/router_ranking.py
+++ b/bronzemux/gateway/router_ranking.py
@@ -1,5 +1,7 @@
 """Ranking of routers by CPU capacity, by which relays and advertised routers are chosen."""
 
+import itertools
+
 from bronzemux.gateway import gossip
 
 # When one relay of a data centre is lost, the other one remains while the next is chosen.
@@ -32,6 +34,25 @@
     return sorted(local, key=sort_key)[:count]
 
 
+def store_order(found: list[gossip.Router]) -> list[gossip.Router]:
+    """Return the relays of all data centres in the order in which they follow the store.
+
+    The first relay of each data centre comes before any second one, so that the first few are in
+    different data centres.
+
+    Args:
+      found: Routers of all data centres.
+    """
+    data_centres = sorted({router.data_centre for router in found})
+    relays = [top_by_capacity(found, data_centre) for data_centre in data_centres]
+    rounds = itertools.zip_longest(*relays)
+    return [
+        router
+        for entries in rounds
+        for router in sorted((entry for entry in entries if entry is not None), key=sort_key)
+    ]
+
+
 def advertised(found: list[gossip.Router]) -> list[gossip.Router]:
     """Return the routers to advertise: those with high CPU capacity while they suffice.
 
--- a/bronzemux/gateway/routers.py
+++ b/bronzemux/gateway/routers.py
@@ -112,12 +112,15 @@
       relays: Names of the relays of the own data centre, empty in a full mesh.
       status_targets: Routers to which this router sends status messages.
       advertised: Names of the routers that are advertised to callers.
+      store_order: Names of the relays of all data centres as far as they are known, in the order in
+        which they follow the store; empty in a full mesh.
     """
 
     is_mesh: bool
     relays: frozenset[str]
     status_targets: tuple[gossip.Router, ...]
     advertised: frozenset[str]
+    store_order: tuple[str, ...] = ()
 
 
 def checksum(listed: Iterable[gossip.Router]) -> int:
@@ -293,7 +296,9 @@
                 [self.own, *(self.view or self._known_routers())]
             )
         )
-        self.topology = Topology(is_mesh, relays, tuple(targets), advertised)
+        order = [] if is_mesh else router_ranking.store_order([self.own, *self.view])
+        store_order = tuple(router.name for router in order)
+        self.topology = Topology(is_mesh, relays, tuple(targets), advertised, store_order)
 
     def _heard_or_listed(self, now: float, kinds: tuple[ListKind, ...]) -> list[gossip.Router]:
         """Return the routers whose messages arrive directly, and those listed by one of them.
@@ -377,6 +382,22 @@
         topology = self.current_topology(now)
         return topology.is_mesh or self.own.name in topology.relays
 
+    def is_proven_relay(self, now: float) -> bool:
+        """Return whether this router is a relay and knows enough routers to be sure of that."""
+        return self.own.name in self.current_topology(now).relays
+
+    def store_rank(self, now: float) -> int | None:
+        """Return this router's rank in the order of store followers, None if it is no relay.
+
+        In a full mesh all routers have rank 0.
+        """
+        topology = self.current_topology(now)
+        if topology.is_mesh:
+            return 0
+        if self.own.name not in topology.relays:
+            return None
+        return topology.store_order.index(self.own.name)
+
     def is_top_ranked(self, now: float) -> bool:
         """Return whether this router ranks as a relay among the live routers of its data centre."""
         found = router_ranking.top_by_capacity([*self.alive(now), self.own], self.own.data_centre)
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -14,6 +14,8 @@
 
 STEP_SECONDS = 0.05
 STORE_ADDRESS = "127.0.0.1:9"
+# Key of the only entry in the table of the endpoints.
+ENDPOINT = "lm-1"
 
 
 @dataclasses.dataclass
@@ -33,11 +35,12 @@
 
 
 class FakeStore:
-    """The operator's table, with a count of its reads."""
+    """The operator's table and that of the endpoints, with a count of the reads."""
 
     def __init__(self):
         self.version = 0
         self.rows: tuple[rows.Row, ...] = ()
+        self.entries: tuple[rows.Row, ...] = ()
         self.reads = 0
 
     def put(self, config_version: int) -> None:
@@ -46,9 +49,32 @@
         document = json.dumps(gateway_support.configuration(config_version)).encode()
         self.rows = (rows.Row("config", self.version, document),)
 
+    def put_entry(self) -> None:
+        """Write the entry of an endpoint."""
+        self.version += 1
+        entry = {
+            "service": "lm",
+            "address": "10.0.0.1:80",
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": self.version,
+            "born": 1000,
+            "stage": "colocated",
+            "models": [{"name": gateway_support.MODEL, "version": 1, "adapters": []}],
+        }
+        self.entries = (rows.Row(ENDPOINT, self.version, json.dumps(entry).encode()),)
+
+    def drop_entry(self) -> None:
+        """Remove the entry of the endpoint."""
+        self.version += 1
+        self.entries = ()
+
     def batch(self, table: str) -> rows.Batch:
-        """Return a snapshot of a table; the table of the endpoints is empty."""
-        found = self.rows if table == "op" else ()
+        """Return a snapshot of a table."""
+        found = self.rows if table == "op" else self.entries
         return rows.Batch(found, self.version, is_snapshot=True)
 
 
@@ -153,6 +179,10 @@
 
     # Observation
 
+    def is_follower(self, name: str) -> bool:
+        """Return whether a running router currently follows the store."""
+        return name not in self.down and self.gateways[name].peering.must_follow_store()
+
     def configuration_versions(self) -> dict[str, int]:
         """Return the version of the configuration in force at each running router, 0 for none."""
         found = {}
--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -2,13 +2,13 @@
   Many routers exchange messages through relays: the two routers of each data centre with the most
   CPU capacity. These scenarios simulate the messages between routers without a network.
 
-  Scenario: All routers discover each other, and only relays follow the store
+  Scenario: All routers discover each other, and three relays in different data centres follow the store
     Given 24 routers in 3 data centres, of which 2 in each have high capacity
     When the routers run for 4 seconds
     Then each router considers all 24 alive
     And the relays are the high-capacity routers
     When the routers run for 5 seconds
-    Then only the relays have followed the store
+    Then only 3 relays in different data centres have followed the store
 
   Scenario: A configuration reaches all routers through the relays
     Given 24 routers in 3 data centres, of which 2 in each have high capacity
@@ -17,6 +17,61 @@
     And the routers run for 0.5 seconds
     Then configuration 2 is in force at all routers
 
+  Scenario Outline: Load pattern "many routers": calls to the store do not grow with the routers
+    Given <routers> routers in <places> data centres, of which 2 in each have high capacity
+    When the routers run for 4 seconds
+    And the routers run for 2 seconds
+    Then only 3 relays in different data centres have followed the store
+
+    Examples:
+      | routers | places |
+      | 195     | 5      |
+      | 300     | 5      |
+
+  Scenario Outline: Routers replace the followers of the store that do not reach it
+    Given 24 routers in 3 data centres, of which 2 in each have high capacity
+    And the routers run for 4 seconds
+    When these routers are partitioned from the store: <who>
+    And the routers run for <seconds> seconds
+    And configuration 2 is written for the routers
+    And the routers run for 0.7 seconds
+    Then configuration 2 is in force at all routers
+    And at most <most> routers have followed the store
+
+    Examples:
+      | who                      | seconds | most |
+      | one follower             | 0.1     | 4    |
+      | all followers            | 1.6     | 6    |
+      | all followers but one    | 0.1     | 4    |
+      | all relays               | 3       | 24   |
+
+  Scenario Outline: Routers replace the followers of the store that crash
+    Given 24 routers in 3 data centres, of which 2 in each have high capacity
+    And the routers run for 4 seconds
+    When these routers crash: <who>
+    And configuration 2 is written for the routers
+    And the routers run for <seconds> seconds
+    Then configuration 2 is in force at all routers
+
+    Examples:
+      | who           | seconds |
+      | one follower  | 0.5     |
+      | all followers | 2.0     |
+      | all relays    | 3.0     |
+
+  Scenario Outline: Entries that expire in an outage of the store remove no endpoint from any router
+    Given 24 routers in 3 data centres, of which 2 in each have high capacity
+    And an endpoint is registered in the store
+    And the routers run for 4 seconds
+    When the store has an outage of <outage> seconds, in which the entry expires
+    And the entry returns 1 second after the outage
+    Then no router has removed the endpoint at any moment
+
+    Examples:
+      | outage |
+      | 0.9    |
+      | 4      |
+
   Scenario Outline: Routers that crash are considered dead, whatever their role
     Given 24 routers in 3 data centres, of which 2 in each have high capacity
     And the routers run for 4 seconds
