--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -282,13 +282,10 @@
 @given("a peer server that accepted a connection and was closed")
 def step_closed_server(context):
     server = peers.PeerServer("127.0.0.1", 0, lambda frame: None)
-    context.descriptors = (
-        server.protocol_server.socket.fileno(),
-        server.protocol_server.shutdown_watcher.fileno(),
-    )
     server.start()
-    with socket.create_connection(("127.0.0.1", server.port)):
+    with socket.create_connection(("127.0.0.1", server.port)) as sock:
         gevent.sleep(0.05)
+        context.descriptors = (server.acceptor.socket.fileno(), sock.fileno() + 1)
     server.close()
 
 
