--- a/bronzemux/gateway/cache_index.py
+++ b/bronzemux/gateway/cache_index.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from bronzemux import logs
 from bronzemux.gateway import model
@@ -81,6 +81,7 @@
 
     Attributes:
       prefixes: Cached prefixes by holder and key, the least recently used first.
+      holders: Holders of each prefix by key.
       tokens: Tokens of all cached prefixes by holder.
       epochs: Last epoch of each cache store, `STORE_DOWN` when it did not answer.
       on_update: Called when there is an update to announce to the peers.
@@ -89,6 +90,7 @@
 
     def __init__(self):
         self.prefixes: dict[str, collections.OrderedDict[PrefixKey, CachedPrefix]] = {}
+        self.holders: dict[PrefixKey, set[str]] = {}
         self.tokens: dict[str, int] = {}
         self.epochs: dict[str, int] = {}
         self.on_update: list[Callable[[], None]] = []
@@ -111,14 +113,27 @@
             known.ready_at = min(known.ready_at, item.ready_at)
             return
         prefixes[item.key] = CachedPrefix(item.tokens, item.ready_at)
+        self.holders.setdefault(item.key, set()).add(item.holder)
         self.tokens[item.holder] = self.tokens.get(item.holder, 0) + item.tokens
         while self.tokens[item.holder] > capacity and len(prefixes) > 1:
-            self.tokens[item.holder] -= prefixes.popitem(last=False)[1].tokens
+            key, evicted = prefixes.popitem(last=False)
+            self.tokens[item.holder] -= evicted.tokens
+            self._remove_holder(item.holder, key)
         if is_own:
             self.updates.append(item)
             for listener in self.on_update:
                 listener()
 
+    def _remove_holder(self, holder: str, key: PrefixKey) -> None:
+        holders = self.holders[key]
+        holders.discard(holder)
+        if not holders:
+            del self.holders[key]
+
+    def holders_of(self, key: PrefixKey) -> Set[str]:
+        """Return the holders that are assumed to have a prefix, or to be computing it."""
+        return self.holders.get(key, frozenset())
+
     def holds(self, holder: str, key: PrefixKey) -> bool:
         """Return whether a holder is assumed to have a prefix, or to be computing it."""
         return key in self.prefixes.get(holder, ())
@@ -148,6 +163,7 @@
         prefix = self.prefixes.get(holder, {}).pop(key, None)
         if prefix is not None:
             self.tokens[holder] -= prefix.tokens
+            self._remove_holder(holder, key)
 
     def record_store_epoch(self, address: str, epoch: int) -> bool:
         """Record the epoch of a cache store, `STORE_DOWN` when it does not answer.
@@ -169,7 +185,8 @@
 
     def forget(self, holder: str) -> None:
         """Drop all prefixes of a holder."""
-        self.prefixes.pop(holder, None)
+        for key in self.prefixes.pop(holder, ()):
+            self._remove_holder(holder, key)
         self.tokens.pop(holder, None)
 
     def take_updates(self) -> list[PrefixRecord]:
--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterator, Mapping
 
 from bronzemux.gateway import model
@@ -53,6 +54,44 @@
 ALL_ROUTERS = LoadSource("")
 
 
+class PeerLoads(dict[LoadSource, tuple[EndpointLoad, float]]):
+    """Loads of other gateways and the time of their report, by source.
+
+    Attributes:
+      generation: Number of changes so far.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.generation = 0
+
+    def __setitem__(self, source: LoadSource, reported: tuple[EndpointLoad, float]) -> None:
+        super().__setitem__(source, reported)
+        self.generation += 1
+
+    def pop(self, *args):
+        """Remove the load of a source and return it, or a default."""
+        self.generation += 1
+        return super().pop(*args)
+
+
+@dataclasses.dataclass(frozen=True)
+class CachedPeerLoad:
+    """Load of the other gateways as of one generation of their reports.
+
+    Attributes:
+      load: The load.
+      generation: Generation of the reports.
+      reported: This gateway's own load that the reports include.
+      valid_until: Monotonic seconds at which the oldest of the reports expires.
+    """
+
+    load: EndpointLoad
+    generation: int
+    reported: EndpointLoad
+    valid_until: float
+
+
 @dataclasses.dataclass
 class LoadOrder:
     """Order to an endpoint to load weights.
@@ -91,6 +130,8 @@
       peer_loads: Loads of other gateways and the time of their report, by source.
       reported: Load of this gateway that it last reported to its relays.
       is_gone: Whether the endpoint was removed, or replaced by a new incarnation.
+      cached_peer_load: Sum of the loads of other gateways when it was last computed, None before.
+      hash_name: The incarnation as input of rendezvous hashing.
     """
 
     endpoint: model.Endpoint
@@ -108,11 +149,14 @@
     attempts: set = dataclasses.field(default_factory=set)
     weights: dict[str, int] = dataclasses.field(default_factory=dict)
     loading: dict[str, LoadOrder] = dataclasses.field(default_factory=dict)
-    peer_loads: dict[LoadSource, tuple[EndpointLoad, float]] = dataclasses.field(
-        default_factory=dict
-    )
+    peer_loads: PeerLoads = dataclasses.field(default_factory=PeerLoads)
     reported: EndpointLoad = EndpointLoad()
     is_gone: bool = False
+    cached_peer_load: CachedPeerLoad | None = None
+    hash_name: bytes = b""
+
+    def __post_init__(self):
+        self.hash_name = self.endpoint.incarnation.encode()
 
     def update(self, endpoint: model.Endpoint) -> None:
         """Apply a newer entry of the same incarnation."""
@@ -145,10 +189,6 @@
         peers = self._peer_load(now)
         return self.in_flight + peers.requests, self.backlog_tokens + peers.tokens
 
-    def total_memory_tokens(self, now: float) -> int:
-        """Return the most tokens of KV memory that the requests of all gateways can take."""
-        return self.memory_tokens + self._peer_load(now).memory
-
     def data_centre_load(self, now: float) -> EndpointLoad:
         """Return the load of the gateways of this data centre."""
         return _sum([self.own_load(now), *self._fresh_peer_loads(now, includes_remote=False)])
@@ -157,22 +197,52 @@
         """Return the load of all gateways."""
         return _sum([self.own_load(now), *self._fresh_peer_loads(now, includes_remote=True)])
 
+    def all_loads(self, now: float) -> tuple[int, float, float, int]:
+        """Return requests, prompt tokens to prefill, failures and memory of all gateways.
+
+        These are the fields of `EndpointLoad`, in its order.
+        """
+        peers = self._peer_load(now)
+        return (
+            self.in_flight + peers.requests,
+            self.backlog_tokens + peers.tokens,
+            (self._own_failures(now) if self.failures else 0.0) + peers.failures,
+            self.memory_tokens + peers.memory,
+        )
+
     def _peer_load(self, now: float) -> EndpointLoad:
+        """Return the load of the other gateways."""
+        cached = self.cached_peer_load
+        if (
+            cached is None
+            or now >= cached.valid_until
+            or cached.generation != self.peer_loads.generation
+            or cached.reported is not self.reported
+        ):
+            cached = self.cached_peer_load = self._compute_peer_load(now)
+        return cached.load
+
+    def _compute_peer_load(self, now: float) -> CachedPeerLoad:
         """Return the load of the other gateways.
 
         If a fresh total of all routers is known, this is the total less what this gateway reported;
         otherwise it is the sum of the loads of the single sources.
         """
+        generation, own = self.peer_loads.generation, self.reported
         total = self.peer_loads.get(ALL_ROUTERS)
         if total is None or now - total[1] >= PEER_LOAD_TTL_SECONDS:
-            return _sum(self._fresh_peer_loads(now, includes_remote=True))
-        load, own = total[0], self.reported
-        return EndpointLoad(
+            fresh = [at for _, at in self.peer_loads.values() if now - at < PEER_LOAD_TTL_SECONDS]
+            valid_until = min(fresh, default=math.inf) + PEER_LOAD_TTL_SECONDS
+            load = _sum(self._fresh_peer_loads(now, includes_remote=True))
+            return CachedPeerLoad(load, generation, own, valid_until)
+        load, reported_at = total
+        others = EndpointLoad(
             max(0, load.requests - own.requests),
             max(0.0, load.tokens - own.tokens),
             max(0.0, load.failures - own.failures),
             max(0, load.memory - own.memory),
         )
+        return CachedPeerLoad(others, generation, own, reported_at + PEER_LOAD_TTL_SECONDS)
 
     def _fresh_peer_loads(self, now: float, includes_remote: bool) -> list[EndpointLoad]:
         """Return the loads that have not expired, without the total of all routers."""
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -5,9 +5,11 @@
 not cached, and the transfer of the cached ones from their holder.
 """
 
+import collections
 import dataclasses
 import hashlib
 import heapq
+import typing
 
 from bronzemux.gateway import cache_index, endpoints, model
 
@@ -106,7 +108,7 @@
             return ""
         return max(
             (address for address, _ in self.stores),
-            key=lambda address: _hash(keys[-1][0], address),
+            key=lambda address: _hash(keys[-1][0], address.encode()),
             default="",
         )
 
@@ -179,41 +181,64 @@
       now: Monotonic seconds.
     """
     name = requirements.prompt.model
-    loaded = [
-        state
-        for state in states
-        if state.weights.get(name, -1) >= requirements.min_weights
-        and not state.is_loading(name, now)
-    ]
-    loads = {state.endpoint.id: state.load(now) for state in loaded}
-    eligible = [
-        state for state in loaded if loads[state.endpoint.id][0] < requirements.max_requests
-    ] or loaded
+    loads, loaded, eligible = {}, [], []
+    for state in states:
+        if state.weights.get(name, -1) < requirements.min_weights:
+            continue
+        if state.loading and state.is_loading(name, now):
+            continue
+        load = loads[state.endpoint.id] = state.all_loads(now)
+        loaded.append(state)
+        if load[0] < requirements.max_requests:
+            eligible.append(state)
+    eligible = eligible or loaded
     if requirements.max_memory_tokens:
-        eligible = [state for state in eligible if has_memory(state, requirements, now)]
-    choices = []
-    for weights in {state.weights[name] for state in eligible}:
-        same = [state for state in eligible if state.weights[name] == weights]
-        choices.extend(_version_choices(same, loads, weights, requirements, view, now))
-    if not choices:
+        eligible = [
+            state for state in eligible if has_memory(loads[state.endpoint.id][3], requirements)
+        ]
+    estimates = []
+    by_weights = collections.defaultdict(list)
+    for state in eligible:
+        by_weights[state.weights[name]].append(state)
+    for weights, same in by_weights.items():
+        estimates.extend(_version_estimates(same, loads, weights, requirements, view, now))
+    if not estimates:
         return None
-    best = min(choices, key=lambda pair: pair[0])[1]
-    backup = choose_backup(eligible, best, name, now) if requirements.needs_backup else None
-    return dataclasses.replace(best, candidate_count=len(eligible), backup=backup)
+    best = min(estimates, key=lambda estimate: estimate.cost)
+    backup = None
+    if requirements.needs_backup:
+        backup = choose_backup(eligible, best.state, best.weights, name, now)
+    prefix = best.prefix
+    is_saved = not prefix.keys or view.index.holds(prefix.store, prefix.keys[-1][0])
+    return Choice(
+        best.state,
+        best.weights,
+        prefix.salt,
+        fetch_from=best.fetch_from,
+        save_to="" if is_saved else prefix.store,
+        expected_seconds=best.seconds,
+        prefill_tokens=max(0, requirements.prompt.tokens - best.cached_tokens),
+        cached_tokens=best.cached_tokens,
+        candidate_count=len(eligible),
+        backup=backup,
+    )
 
 
-def has_memory(state: endpoints.EndpointState, requirements: Requirements, now: float) -> bool:
+def has_memory(taken: int, requirements: Requirements) -> bool:
     """Return whether a request fits into the memory of an endpoint without preempting another.
 
     The whole prompt of a preempted request has to be prefilled again. A request that is larger than
     the limit goes to an endpoint that has no other requests.
+
+    Args:
+      taken: Most tokens that the requests there can take.
+      requirements: What the request requires of an endpoint.
     """
-    taken = state.total_memory_tokens(now)
     return not taken or taken + requirements.prompt.memory_tokens <= requirements.max_memory_tokens
 
 
 def choose_backup(
-    candidates, best: Choice, name: str, now: float
+    candidates, chosen: endpoints.EndpointState, weights: int, name: str, now: float
 ) -> endpoints.EndpointState | None:
     """Return the endpoint that gets a backup of the request's KV cache.
 
@@ -222,7 +247,8 @@
 
     Args:
       candidates: Endpoints that may get it.
-      best: Endpoint chosen for the request.
+      chosen: Endpoint chosen for the request.
+      weights: Version of the weights there.
       name: Name of the model.
       now: Monotonic seconds.
 
@@ -232,13 +258,13 @@
     others = [
         state
         for state in candidates
-        if state is not best.state
-        and state.weights[name] == best.weights
+        if state is not chosen
+        and state.weights[name] == weights
         and state.load(now)[0] < MAX_BACKUP_SLOT_FRACTION * state.endpoint.slots
     ]
 
     def cost(state: endpoints.EndpointState) -> tuple[float, bool, str]:
-        is_remote = state.endpoint.data_centre != best.state.endpoint.data_centre
+        is_remote = state.endpoint.data_centre != chosen.endpoint.data_centre
         return (round(state.failure_level(now)), is_remote, state.load(now), state.endpoint.id)
 
     return min(others, key=cost, default=None)
@@ -288,19 +314,40 @@
     store: str = ""
 
 
-def _version_choices(
+class Estimate(typing.NamedTuple):
+    """Estimated cost of serving a request at one endpoint.
+
+    Attributes:
+      cost: Cost in seconds.
+      seconds: Estimated time to the first event.
+      state: The endpoint.
+      weights: Version that must be loaded there.
+      prefix: Where the prefixes of the prompt are cached.
+      fetch_from: Address from which the cached prefix is fetched, empty for none.
+      cached_tokens: Prompt tokens that are assumed to be cached there, or to be fetched.
+    """
+
+    cost: float
+    seconds: float
+    state: endpoints.EndpointState
+    weights: int
+    prefix: PrefixInfo
+    fetch_from: str
+    cached_tokens: int
+
+
+def _version_estimates(
     states, loads, weights: int, requirements: Requirements, view: GatewayView, now: float
 ):
-    """Yield the cost and the choice of each shortlisted endpoint, all with the same weights."""
+    """Yield the estimate of each shortlisted endpoint, all with the same weights."""
     prefix = describe_prefix(states, weights, requirements, view, now)
     is_old = weights < requirements.current_weights
     stale = STALE_WEIGHTS_COST_OBJECTIVES * requirements.objective_seconds if is_old else 0.0
     for hash_rank, state in shortlist(states, loads, prefix):
-        load = loads[state.endpoint.id]
-        cost, choice = _engine_choice(
-            state, load, hash_rank, requirements.prompt, weights, prefix, view, now
+        cost, seconds, fetch_from, cached_tokens = _estimate(
+            state, loads[state.endpoint.id], hash_rank, requirements.prompt, prefix, view
         )
-        yield cost + stale, choice
+        yield Estimate(cost + stale, seconds, state, weights, prefix, fetch_from, cached_tokens)
 
 
 def describe_prefix(
@@ -317,12 +364,18 @@
     """
     salt = cache_salt(requirements.prompt.model, weights, requirements.team)
     keys = cache_index.prefix_keys(salt, requirements.prompt.shared_parts)
+    known_holders = [(view.index.holders_of(key), tokens) for key, tokens in keys]
     local_tokens, holders, longest_tokens = {}, [], 0
     for state in states:
         entry = state.endpoint
-        tokens = local_tokens[entry.id] = view.index.longest_match(entry.incarnation, keys, None)
+        incarnation = entry.incarnation
+        tokens = 0
+        for names, prefix_tokens in known_holders:
+            if incarnation in names:
+                tokens = prefix_tokens
+        local_tokens[entry.id] = tokens
         if tokens:
-            ready_tokens = view.index.longest_match(entry.incarnation, keys, now)
+            ready_tokens = view.index.longest_match(incarnation, keys, now)
             holders.append(PrefixHolder(ready_tokens, entry.address, entry.data_centre))
             longest_tokens = max(longest_tokens, tokens)
     for address, data_centre in view.stores:
@@ -345,16 +398,19 @@
 
     Args:
       states: Endpoints with the same weights.
-      loads: Requests and prompt tokens to prefill, by identity of the endpoint.
+      loads: Tuples by identity of the endpoint; the first two entries are its requests and the
+        prompt tokens to prefill.
       prefix: Where the prefixes of the prompt are cached.
     """
     ranked = list(enumerate(_ranked(states, prefix.keys)))
     if len(ranked) <= SHORTLIST_THRESHOLD_ENDPOINTS:
         return ranked
 
+    tokens_per_request = RUNNING_REQUEST_SECONDS * PREFILL_TOKENS_PER_SECOND
+
     def load_key(pair):
-        count, backlog = loads[pair[1].endpoint.id]
-        return (backlog + count * RUNNING_REQUEST_SECONDS * PREFILL_TOKENS_PER_SECOND, pair[0])
+        load = loads[pair[1].endpoint.id]
+        return (load[1] + load[0] * tokens_per_request, pair[0])
 
     holders = [pair for pair in ranked if prefix.local_tokens[pair[1].endpoint.id]]
     holders = heapq.nsmallest(
@@ -366,40 +422,34 @@
     return list(dict([*holders, *ranked[:SHORTLIST_SIZE], *idle]).items())
 
 
-def _engine_choice(
-    state, load, hash_rank, prompt, weights, prefix: PrefixInfo, view: GatewayView, now
-) -> tuple[float, Choice]:
-    """Return the cost of an endpoint in seconds, and the choice of it."""
-    keys = prefix.keys
+def _estimate(
+    state, load, hash_rank: int, prompt: model.Prompt, prefix: PrefixInfo, view: GatewayView
+) -> tuple[float, float, str, int]:
+    """Return the first fields of an `Estimate`, without the endpoint: cost, seconds, address, tokens.
+
+    Args:
+      state: The endpoint.
+      load: Result of its method `all_loads`.
+      hash_rank: Its rank in the order of rendezvous hashing.
+      prompt: The prompt.
+      prefix: Where the prefixes of the prompt are cached.
+      view: State of this gateway besides the endpoints.
+    """
     entry = state.endpoint
     local_tokens = prefix.local_tokens[entry.id]
-    store = prefix.store
     address, fetched_tokens, fetch_seconds = _best_holder(state, prefix, local_tokens)
-    count, backlog = load
-    prefill_tokens = max(0, prompt.tokens - max(local_tokens, fetched_tokens))
+    count, backlog, failures, _ = load
+    cached_tokens = max(local_tokens, fetched_tokens)
+    prefill_tokens = max(0, prompt.tokens - cached_tokens)
     seconds = state.slowdown * (backlog + prefill_tokens) / PREFILL_TOKENS_PER_SECOND
     seconds += fetch_seconds + count * RUNNING_REQUEST_SECONDS
-    cost = seconds * (1 + state.failure_level(now))
-    cost += (
-        max(0, prefix.longest_tokens - max(local_tokens, fetched_tokens))
-        * RECOMPUTE_SECONDS_PER_TOKEN
-    )
+    cost = seconds * (1 + failures)
+    cost += max(0, prefix.longest_tokens - cached_tokens) * RECOMPUTE_SECONDS_PER_TOKEN
     if not local_tokens:
         cost += hash_rank * HASH_RANK_SECONDS
     if entry.data_centre != view.data_centre:
         cost += REMOTE_COST_SECONDS
-    is_saved = not keys or view.index.holds(store, keys[-1][0])
-    choice = Choice(
-        state,
-        weights,
-        prefix.salt,
-        fetch_from=address,
-        save_to="" if is_saved else store,
-        expected_seconds=seconds,
-        prefill_tokens=prefill_tokens,
-        cached_tokens=max(local_tokens, fetched_tokens),
-    )
-    return cost, choice
+    return cost, seconds, address, cached_tokens
 
 
 def _best_holder(state, prefix: PrefixInfo, local_tokens: int) -> tuple[str, int, float]:
@@ -431,11 +481,11 @@
 def _ranked(candidates, keys) -> list[endpoints.EndpointState]:
     """Return the endpoints in the order of rendezvous hashing of the longest shared prefix."""
     key = keys[-1][0] if keys else b""
-    return sorted(candidates, key=lambda state: _hash(key, state.endpoint.incarnation))
+    return sorted(candidates, key=lambda state: _hash(key, state.hash_name))
 
 
-def _hash(key: bytes, name: str) -> bytes:
-    return hashlib.blake2b(key + name.encode(), digest_size=8).digest()
+def _hash(key: bytes, name: bytes) -> bytes:
+    return hashlib.blake2b(key + name, digest_size=8).digest()
 
 
 def cache_salt(model_name: str, weights: int, team: str) -> str:
--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -148,3 +148,20 @@
       | has 1 request in flight   |
       | has failed 3 times        |
       | is in another data centre |
+
+  Scenario: The holders of a prefix are known by its key, whatever was added, evicted and dropped
+    Given a router that knows no cached prefixes
+    When 2000 random changes are made to the index of 6 holders
+    Then the index names exactly the holders of each prefix
+
+  Scenario: Load pattern "many endpoints": a load that was computed before is not used after its time
+    Given 1 model endpoints with empty caches
+    When a peer reports 5 requests at endpoint 1 at 10 seconds
+    Then endpoint 1 has 5 requests at 11.4 seconds
+    And endpoint 1 has 0 requests at 11.6 seconds
+    When a peer reports 7 requests at endpoint 1 at 12 seconds
+    Then endpoint 1 has 7 requests at 12.1 seconds
+    When a relay reports 9 requests of all routers at endpoint 1 at 12.2 seconds
+    Then endpoint 1 has 9 requests at 12.3 seconds
+    When this router has told its relay of 4 of these requests at endpoint 1
+    Then endpoint 1 has 5 requests at 12.4 seconds
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import random
 
 import gevent
 from behave import given, then, when
@@ -452,8 +453,8 @@
 @when("a request that must not be retried is placed on endpoint 1")
 def step_backed_up(context):
     first = context.states[0]
-    best = placement.Choice(first, weights=1)
-    context.backup = placement.choose_backup(context.states, best, MODEL, 1.0)
+    weights = 1
+    context.backup = placement.choose_backup(context.states, first, weights, MODEL, 1.0)
 
 
 @then("its backup goes to endpoint {number:d}")
@@ -498,3 +499,60 @@
         assert context.choice.state is context.states[1]
     else:
         assert context.choice is not None
+
+
+@given("a router that knows no cached prefixes")
+def step_empty_index(context):
+    context.index = cache_index.CacheIndex()
+
+
+@when("{count:d} random changes are made to the index of {holders:d} holders")
+def step_random_changes(context, count, holders):
+    rng = random.Random(count)
+    for _ in range(count):
+        holder, key = f"e{rng.randrange(holders)}", bytes([rng.randrange(40)])
+        action = rng.random()
+        if action < 0.8:
+            item = cache_index.PrefixRecord(key, 100, holder, 0.0)
+            context.index.add(item, 1500, is_own=False)
+        elif action < 0.97:
+            context.index.drop(holder, key)
+        else:
+            context.index.forget(holder)
+
+
+@then("the index names exactly the holders of each prefix")
+def step_holders(context):
+    index = context.index
+    keys = [bytes([number]) for number in range(40)]
+    expected = {key: {h for h, found in index.prefixes.items() if key in found} for key in keys}
+    assert any(expected.values())
+    assert {key: set(index.holders_of(key)) for key in keys} == expected
+    assert set(index.holders) == {key for key, holders in expected.items() if holders}
+
+
+@when("a peer reports {count:d} requests at endpoint {number:d} at {seconds:g} seconds")
+def step_peer_reports(context, count, number, seconds):
+    report = (endpoints.EndpointLoad(requests=count), seconds)
+    context.states[number - 1].peer_loads[endpoints.LoadSource("vm-2")] = report
+
+
+@when(
+    "a relay reports {count:d} requests of all routers at endpoint {number:d} at {seconds:g} "
+    "seconds"
+)
+def step_relay_reports(context, count, number, seconds):
+    report = (endpoints.EndpointLoad(requests=count), seconds)
+    context.states[number - 1].peer_loads[endpoints.ALL_ROUTERS] = report
+
+
+@when("this router has told its relay of {count:d} of these requests at endpoint {number:d}")
+def step_reported(context, count, number):
+    context.states[number - 1].reported = endpoints.EndpointLoad(requests=count)
+
+
+@then("endpoint {number:d} has {count:d} requests at {seconds:g} seconds")
+def step_load_is(context, number, count, seconds):
+    state = context.states[number - 1]
+    assert state.load(seconds)[0] == count, state.load(seconds)
+    assert state.all_loads(seconds)[0] == count, state.all_loads(seconds)
