End responses, events and bodies that do not end

Cause: bytes without end, in a head or a body, were read until the deadline or for ever: interim responses and trailers without a limit, an event kept whole and searched anew with each piece, a platform service's body collected without limit or time, a caller's body a byte at a time, a stream of comments taken for progress; one connection at line rate kept the others waiting. Change: limits on interim responses, trailers, events and, by the VM's memory, responses; progress of a stream is an event with data; a greenlet lets others run after 256 KB; time and size limits for platform services; time limit for callers' bodies. A request cut so is told that it may have run (502, 504 or a closed connection), never 'not run'. Stand-in endpoints play each kind.

--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -12,8 +12,12 @@
 )
 from bronzemux.gateway import job as jobs
 
-# Longest response that is buffered in memory; streams are not.
+# Longest response that is buffered in memory; streams are not. On a VM with little memory it is the
+# given fraction of that.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_RESPONSE_MEMORY_FRACTION = 1 / 64
+# Most interim responses before the final one.
+MAX_INTERIM_RESPONSES = 16
 # Time without a response after which another endpoint is tried, as a multiple of the route's
 # latency objective.
 RESPONSE_TIMEOUT_OBJECTIVES = 2.0
@@ -130,9 +134,7 @@
             self.channel.on_read_timeout = self._should_keep_waiting
         job.is_attempt_in_flight = True
         is_sent = self.channel.send_until_response(data, timeout)
-        head = self.channel.read_head()
-        while head is not None and head.start_line[1].startswith("1"):
-            head = self.channel.read_head()
+        head = self._read_final_head()
         if head is None:
             return failures.PossiblyExecuted("lost", is_crash=True)
         self.state.last_received_at = self.clock.monotonic()
@@ -143,19 +145,37 @@
         if response.is_not_executed:
             return self._handle_rejection(response, framing, is_sent)
         if not response.is_success:
-            body = self.channel.read_body(framing, MAX_RESPONSE_BYTES)
+            body = self.channel.read_body(framing, self._max_response_bytes())
             self._return_to_pool(response, framing, is_sent)
             return self._handle_error(response, body)
         if not response.is_sealed or response.request_id is None:
             return failures.PossiblyExecuted("unsealed")
         if job.route.kind is model.RouteKind.STREAM:
             return self._relay_stream(response, framing)
-        body = self.channel.read_body(framing, MAX_RESPONSE_BYTES)
+        body = self.channel.read_body(framing, self._max_response_bytes())
         self._return_to_pool(response, framing, is_sent)
         self.state.record_latency(self.clock.monotonic() - self.started_at)
         self._send_response(response, body)
         return failures.Delivered(response.status)
 
+    def _read_final_head(self) -> http1.Head | None:
+        """Return the head of the final response, None when the connection ends before it.
+
+        Raises:
+          http1.FramingError: When there are too many interim responses.
+        """
+        for _ in range(MAX_INTERIM_RESPONSES):
+            head = self.channel.read_head()
+            if head is None or not head.start_line[1].startswith("1"):
+                return head
+        raise http1.FramingError("too many interim responses", "check the endpoint")
+
+    def _max_response_bytes(self) -> int:
+        memory_bytes = self.components.settings.memory_bytes
+        if not memory_bytes:
+            return MAX_RESPONSE_BYTES
+        return min(MAX_RESPONSE_BYTES, int(memory_bytes * MAX_RESPONSE_MEMORY_FRACTION))
+
     def _response_timeout(self) -> float:
         """Return the seconds without data after which the attempt counts as failed.
 
@@ -198,7 +218,7 @@
         """Return the result for a response that states that the request was not executed."""
         if response.weights is not None and self.job.request.prompt is not None:
             self.state.record_weights(self.job.request.prompt.model, response.weights)
-        self.channel.read_body(framing, MAX_RESPONSE_BYTES)
+        self.channel.read_body(framing, self._max_response_bytes())
         self._return_to_pool(response, framing, is_sent)
         if self.choice.weights is not None and not self.choice.is_continuation:
             self._drop_expected_prefixes()
@@ -235,13 +255,21 @@
     def _relay_stream(self, response: model.ResponseHead, framing: http1.Framing):
         buffer = sse.EventBuffer()
         has_first_event = False
+        first_event_timeout = self._response_timeout()
+        progress_at = self.started_at
         for piece in self.channel.iter_body(framing):
-            self.state.last_received_at = self.clock.monotonic()
+            now = self.state.last_received_at = self.clock.monotonic()
             events = buffer.feed(piece)
-            if events and not has_first_event:
+            has_progress = not all(map(sse.is_comment, events))
+            if has_progress:
+                progress_at = now
+            if has_progress and not has_first_event:
                 has_first_event = True
                 self._on_first_event(response)
             self._relay_events(response, events)
+            timeout = MAX_EVENT_GAP_SECONDS if has_first_event else first_event_timeout
+            if now - progress_at > timeout and self._can_continue_elsewhere():
+                raise TimeoutError("the endpoint sends bytes but no events")
         if buffer.rest:
             return failures.PossiblyExecuted("cut inside an event")
         if not self.job.is_response_started:
@@ -261,10 +289,13 @@
         ):
             self.state.record_first_event(now - self.started_at, self.choice.expected_seconds)
             self._record_weights_and_saved_prefixes(prompt, response)
-        has_fallback = self._can_retry() or self.choice.backup is not None
-        gap = MAX_EVENT_GAP_SECONDS if has_fallback else self._remaining_seconds()
+        can_continue = self._can_continue_elsewhere()
+        gap = MAX_EVENT_GAP_SECONDS if can_continue else self._remaining_seconds()
         self.channel.sock.settimeout(min(gap, self._remaining_seconds()))
 
+    def _can_continue_elsewhere(self) -> bool:
+        return self._can_retry() or self.choice.backup is not None
+
     def _remaining_seconds(self) -> float:
         return max(jobs.MIN_ATTEMPT_SECONDS, self.job.deadline_at - self.clock.monotonic())
 
--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -11,6 +11,7 @@
 import socket
 from collections.abc import Callable, Iterator
 
+import gevent
 import gevent.select
 
 from bronzemux import errors, http_client
@@ -21,6 +22,9 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 # Includes chunk extensions.
 MAX_CHUNK_LINE_BYTES = 1024
+MAX_TRAILER_BYTES = 8192
+# After so many bytes without a wait, a greenlet lets the others run.
+BYTES_PER_TURN = 256 * 1024
 CRLF = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 TOKEN_PATTERN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
@@ -207,6 +211,7 @@
         self.buffer = bytearray()
         # Called when a read times out; returns whether to continue waiting.
         self.on_read_timeout: Callable[[], bool] | None = None
+        self.turn_bytes = 0
 
     def fill(self) -> bool:
         """Receive bytes into the buffer.
@@ -228,6 +233,10 @@
             except OSError as error:
                 raise EndOfStreamError(f"connection lost: {error}", is_reset=True) from error
             self.buffer += data
+            self.turn_bytes += len(data)
+            if self.turn_bytes >= BYTES_PER_TURN:
+                self.turn_bytes = 0
+                gevent.sleep(0)
             return bool(data)
 
     def read_head(self, limit: int = MAX_RESPONSE_HEAD_BYTES) -> Head | None:
@@ -310,8 +319,13 @@
             yield from self._iter_counted(size)
             if self._read_line():
                 raise FramingError("a chunk is longer than its declared size", "check the sender")
-        while self._read_line():
-            continue
+        trailer_bytes = 0
+        while line := self._read_line():
+            trailer_bytes += len(line)
+            if trailer_bytes > MAX_TRAILER_BYTES:
+                raise TooLargeError(
+                    f"the trailers exceed {MAX_TRAILER_BYTES} bytes", "check the sender"
+                )
 
     def _read_chunk_size(self) -> int:
         digits = self._read_line().partition(b";")[0].rstrip(b" \t")
--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -12,6 +12,8 @@
 
 # Enough for all callers of a data centre, which connect at the same time after a restart.
 LISTEN_BACKLOG = 1024
+# A caller may take this multiple of the idle timeout to send a body.
+BODY_IDLE_TIMEOUTS = 2.0
 # A caller that reads nothing for this long is disconnected; callers abandon a stream sooner.
 WRITE_TIMEOUT_SECONDS = 5.0
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -229,7 +231,9 @@
             )
         if (head.get("expect") or "").lower() == "100-continue":
             channel.send(CONTINUE_RESPONSE)
-        return head, channel.read_body(framing, limits.max_body_bytes)
+        seconds = BODY_IDLE_TIMEOUTS * limits.idle_timeout_seconds
+        with gevent.Timeout(seconds, TimeoutError("request body not received in time")):
+            return head, channel.read_body(framing, limits.max_body_bytes)
 
     def _serve_request(
         self, channel, caller: CallerConnection, head, body: bytes, arrived_at: float
--- a/bronzemux/http_client.py
+++ b/bronzemux/http_client.py
@@ -17,6 +17,12 @@
 CRLF = b"\r\n"
 READ_BYTES = 65536
 MAX_IDLE_CONNECTIONS = 8
+# Far more than the largest page, object or configuration of a platform service.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# A response that takes longer in all, as a multiple of the progress timeout, does not end.
+MAX_RESPONSE_TIMEOUTS = 5
+# Far more than any event of a token stream.
+MAX_EVENT_BYTES = 1024 * 1024
 HTTP_SERVER_ERROR = 500
 
 
@@ -59,21 +65,31 @@
 
     Args:
       sock: Connected socket with a timeout.
+
+    Attributes:
+      remaining_bytes: Bytes that the peer may still send, None for no limit.
     """
 
     def __init__(self, sock: socket.socket):
         self.sock = sock
+        self.remaining_bytes: int | None = None
 
     def recv(self, count: int) -> bytes:
         """Return up to `count` bytes, empty at the end of the stream.
 
         Raises:
           TimeoutError: When no data arrived within the timeout of the socket.
+          ValueError: When more bytes arrive than the peer may send.
         """
         try:
-            return self.sock.recv(count)
+            data = self.sock.recv(count)
         except TimeoutError:
-            return self._recv_available(count)
+            data = self._recv_available(count)
+        if self.remaining_bytes is not None:
+            self.remaining_bytes -= len(data)
+            if self.remaining_bytes < 0:
+                raise ValueError("the response is too long")
+        return data
 
     def _recv_available(self, count: int) -> bytes:
         timeout = self.sock.gettimeout()
@@ -267,9 +283,16 @@
             raise
 
     def _exchange(self, connection, method, path, body, is_write) -> Response:
-        connection.send(method, path, {}, body)
-        raw = connection.receive(method)
-        response = Response(raw.status_code, dict(raw.items()), connection.read_all())
+        connection.reader.remaining_bytes = MAX_RESPONSE_BYTES
+        seconds = MAX_RESPONSE_TIMEOUTS * self.settings.timeouts.progress
+        expired = errors.EndpointSilentError(
+            f"{connection.address} did not complete its response within {seconds:g} s",
+            "query the state of the request before repeating it",
+        )
+        with gevent.Timeout(seconds, expired):
+            connection.send(method, path, {}, body)
+            raw = connection.receive(method)
+            response = Response(raw.status_code, dict(raw.items()), connection.read_all())
         if connection.is_reusable() and len(self.idle_connections) < MAX_IDLE_CONNECTIONS:
             self.idle_connections.append(connection)
         else:
@@ -326,10 +349,19 @@
     Returns:
       Iterator over the events, each with its closing blank line; an incomplete last event is
       dropped.
+
+    Raises:
+      errors.EndpointProtocolError: When an event is longer than `MAX_EVENT_BYTES`.
     """
-    buffer = b""
+    buffer = bytearray()
     for chunk in chunks:
+        searched_bytes = max(0, len(buffer) - 1)
         buffer += chunk
-        while (end := buffer.find(b"\n\n")) >= 0:
-            yield buffer[: end + 2]
-            buffer = buffer[end + 2 :]
+        while (end := buffer.find(b"\n\n", searched_bytes)) >= 0:
+            yield bytes(buffer[: end + 2])
+            del buffer[: end + 2]
+            searched_bytes = 0
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise errors.EndpointProtocolError(
+                f"an event exceeds {MAX_EVENT_BYTES} bytes", "check the endpoint"
+            )
--- a/bronzemux/platform/standin_worker.py
+++ b/bronzemux/platform/standin_worker.py
@@ -37,6 +37,48 @@
     CRASH_STREAM = "crash-stream"
     FREEZE_STREAM = "freeze-stream"
     LOSE_COPIES = "lose-copies"
+    ENDLESS_HEAD = "endless-head"
+    ENDLESS_INTERIM = "endless-interim"
+    ENDLESS_BODY = "endless-body"
+    ENDLESS_CHUNKS = "endless-chunks"
+    ENDLESS_EXTENSION = "endless-extension"
+    ENDLESS_TRAILER = "endless-trailer"
+    ENDLESS_EVENT = "endless-event"
+    ENDLESS_COMMENTS = "endless-comments"
+
+
+@dataclasses.dataclass(frozen=True)
+class EndlessResponse:
+    """Response that does not end.
+
+    Attributes:
+      fields: Header fields besides the seal, None when there is no complete head.
+      start: Bytes after the head.
+      piece: Bytes that are then repeated until the connection is closed.
+    """
+
+    fields: tuple[tuple[str, str], ...] | None
+    start: bytes
+    piece: bytes
+
+
+CHUNKED = (("Transfer-Encoding", "chunked"),)
+ENDLESS_PIECE_BYTES = 65536
+FIRST_EVENT = http1.encode_chunk(b"id: 1\ndata: token-1\n\n")
+ENDLESS_RESPONSES = {
+    Fault.ENDLESS_HEAD: EndlessResponse(None, b"HTTP/1.1 200 OK\r\n", b"Filler: filler\r\n"),
+    Fault.ENDLESS_INTERIM: EndlessResponse(None, b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    Fault.ENDLESS_BODY: EndlessResponse((), b"", bytes(ENDLESS_PIECE_BYTES)),
+    Fault.ENDLESS_CHUNKS: EndlessResponse(
+        CHUNKED, b"", http1.encode_chunk(bytes(ENDLESS_PIECE_BYTES))
+    ),
+    Fault.ENDLESS_EXTENSION: EndlessResponse(CHUNKED, b"1;", b"extension"),
+    Fault.ENDLESS_TRAILER: EndlessResponse(CHUNKED, b"0\r\n", b"Filler: filler\r\n"),
+    Fault.ENDLESS_EVENT: EndlessResponse(
+        CHUNKED, FIRST_EVENT, http1.encode_chunk(b"data: filler\n" * 5000)
+    ),
+    Fault.ENDLESS_COMMENTS: EndlessResponse(CHUNKED, FIRST_EVENT, http1.encode_chunk(b": x\n\n")),
+}
 
 
 @dataclasses.dataclass
@@ -62,6 +104,9 @@
       fault: Fault that it simulates.
       execution_seconds: Time until the response to a request begins.
       event_seconds: Time between the events of a stream.
+      endless_seconds: Time between the pieces of a response that does not end.
+      has_comments: Whether a comment precedes each event of a stream.
+      open_connections: Number of connections to it.
       load_seconds: Time that loading weights takes.
       order_fault: "late" to accept orders after a delay and "lost" to accept them at once, both
         without a response; empty for none.
@@ -76,6 +121,9 @@
         self.fault = Fault.NONE
         self.execution_seconds = 0.0
         self.event_seconds = 0.0
+        self.endless_seconds = 0.0
+        self.has_comments = False
+        self.open_connections = 0
         self.load_seconds = 0.05
         self.order_fault = ""
         self.is_loading = False
@@ -123,6 +171,7 @@
     def _serve_connection(self, sock, address) -> None:
         channel = http1.Channel(sock)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.open_connections += 1
         try:
             while True:
                 head = channel.read_head()
@@ -134,6 +183,7 @@
         except (http1.EndOfStreamError, OSError):
             return
         finally:
+            self.open_connections -= 1
             channel.close()
 
     def _serve(self, channel, head, body: bytes) -> bool:
@@ -189,10 +239,21 @@
             seal_fields = [("Request-Id", "another"), ("Response-Seal", "x")]
         if self.fault is Fault.UNSEALED:
             seal_fields = [("Request-Id", request_id)]
+        if self.fault in ENDLESS_RESPONSES:
+            return self._send_endless(channel, ENDLESS_RESPONSES[self.fault], seal_fields)
         if "model" in request.fields:
             return self._send_stream(channel, request, seal_fields)
         return self._send_body(channel, request, seal_fields)
 
+    def _send_endless(self, channel, response: EndlessResponse, seal_fields) -> bool:
+        """Send a response that does not end, until the connection is closed."""
+        if response.fields is not None:
+            channel.send(http1.encode_head("HTTP/1.1 200 OK", [*seal_fields, *response.fields]))
+        channel.send(response.start)
+        while True:
+            channel.send(response.piece)
+            gevent.sleep(self.endless_seconds)
+
     def _send_body(self, channel, request: ExecutedRequest, seal_fields) -> bool:
         body = f"{self.identity} ran {request.target}".encode()
         if self.fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
@@ -221,7 +282,10 @@
         ]
         channel.send(http1.encode_head("HTTP/1.1 200 OK", fields))
         for number in range(first, STREAM_EVENTS + 1):
-            gevent.sleep(self.event_seconds)
+            gevent.sleep(self.event_seconds / 2)
+            if self.has_comments:
+                channel.send(http1.encode_chunk(b": comment\n\n"))
+            gevent.sleep(self.event_seconds / 2)
             event = f"id: {number}\ndata: token-{number}\n\n".encode()
             if self.fault is Fault.CUT_STREAM and number == first + 2:
                 channel.send(http1.encode_chunk(event[:7]))
