Compute the order of followers only where it is used

Cause: each router computes its view of the membership up to five times a second; the order of followers, added for relays, was computed by all and doubled that for the others; two lists of routers were computed where one is used, and each status message copied a record to compare it. Change: the order and the second list only for relays and meshes; comparison by fields.

--- a/bronzemux/gateway/routers.py
+++ b/bronzemux/gateway/routers.py
@@ -15,6 +15,7 @@
 import dataclasses
 import enum
 import hashlib
+import operator
 import zlib
 from collections.abc import Iterable
 
@@ -49,6 +50,12 @@
 VIEW_MAX_AGE_SECONDS = 0.2
 
 
+# Returns all values of a router but its sequence number.
+_STABLE_VALUES = operator.attrgetter(
+    *(field.name for field in dataclasses.fields(gossip.Router) if field.name != "sequence")
+)
+
+
 class ListKind(enum.Enum):
     """What a roster states about the routers in it.
 
@@ -119,7 +126,7 @@
       status_targets: Routers to which this router sends status messages.
       advertised: Names of the routers that are advertised to callers.
       store_order: Names of the relays of all data centres as far as they are known, in the order in
-        which they follow the store; empty in a full mesh.
+        which they follow the store; empty unless this router is a relay.
     """
 
     is_mesh: bool
@@ -143,7 +150,7 @@
 
 
 def _is_equal_except_sequence(one: gossip.Router, other: gossip.Router) -> bool:
-    return dataclasses.replace(one, sequence=other.sequence) == other
+    return _STABLE_VALUES(one) == _STABLE_VALUES(other)
 
 
 def _freshness_key(router: gossip.Router) -> tuple[int, int]:
@@ -282,12 +289,13 @@
         return self.view
 
     def _recompute(self, now: float) -> None:
-        heard = self._heard_or_listed(now, (ListKind.HEARD,))
         listed = self._heard_or_listed(now, (ListKind.HEARD, ListKind.VIEW))
         own_relays = router_ranking.top_by_capacity([*listed, self.own], self.own.data_centre)
         is_relay = any(router.name == self.own.name for router in own_relays)
         is_mesh = len(self.known) < MAX_MESH_ROUTERS
-        self.view, self.view_computed_at = (heard if is_mesh or is_relay else listed), now
+        is_listing_enough = not is_mesh and not is_relay
+        self.view = listed if is_listing_enough else self._heard_or_listed(now, (ListKind.HEARD,))
+        self.view_computed_at = now
         self.alive_names = frozenset(router.name for router in self.view)
         for name in self.alive_names:
             self.known[name].last_alive_at = now
@@ -303,7 +311,7 @@
                 [self.own, *(self.view or self._known_routers())]
             )
         )
-        order = [] if is_mesh else router_ranking.store_order([self.own, *self.view])
+        order = [] if is_listing_enough else router_ranking.store_order([self.own, *self.view])
         store_order = tuple(router.name for router in order)
         self.topology = Topology(is_mesh, relays, tuple(targets), advertised, store_order)
 
