--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -115,7 +115,7 @@
         now = self.clock.monotonic()
         if now < self.retry_at:
             return
-        is_follower = self.gateway.peering.must_follow_store()
+        is_follower = self.gateway.peering.store_following.is_needed()
         try:
             if not self.is_registered and (
                 is_follower or self.gateway.routers.is_proven_relay(now)
@@ -217,7 +217,7 @@
             self._lease(boot_ms),
             platform.endpoint_control,
             self.meters,
-            self.peering.may_order_weights,
+            self.peering.store_following.may_order_weights,
         )
 
     def _lease(self, boot_ms: int) -> lease.Lease:
@@ -282,6 +282,7 @@
         def on_contact(contact: feed.StoreContact) -> None:
             self.cluster_state.record_store_contact(contact.table, contact.is_up)
 
+        following = self.peering.store_following
         return feed.Feed(
             name,
             source,
@@ -289,9 +290,9 @@
             lambda: replica.version,
             on_batch,
             on_contact,
-            self.peering.must_follow.is_set,
-            self.peering.must_follow.wait,
-            self.peering.poll_factor,
+            following.needed.is_set,
+            following.needed.wait,
+            following.pause_factor,
         )
 
     def _start_admin_servers(self) -> None:
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -5,11 +5,8 @@
 
 import dataclasses
 import functools
-import zlib
 from collections.abc import Callable
 
-import gevent.event
-
 from bronzemux import errors, logs, peers, records, supervisor
 from bronzemux.gateway import (
     cache_index,
@@ -22,6 +19,7 @@
     routers,
     rows,
     settings,
+    store_following,
     weights,
 )
 
@@ -38,24 +36,6 @@
 # Interval of the replies to a router that gets no regular status messages. The replies show that
 # router that its messages arrive, so that it can request the roster and find its relays.
 REPLY_INTERVAL_SECONDS = 0.5
-# A router reads the store itself after this long without a status message from a router that
-# follows the store. Including the read, this is well below the time within which a configuration
-# must be in force.
-RELAY_TIMEOUT_SECONDS = 1.0
-# Until then, a router that hears of a follower leaves the store to it, because it may not know enough
-# routers yet to see that it is no relay.
-SETTLING_SECONDS = 3.0
-# Relays that follow the store, in a deployment with more routers than a full mesh has; the loss of
-# two is tolerated.
-STORE_FOLLOWERS = 3
-# Additional delay, per rank, of the relays that replace followers.
-FOLLOWER_RANK_SECONDS = 0.05
-# Additional delay of the other routers, per router of the deployment: of N routers that lose their
-# relays at the same time, the first reads the store at once and the last after N times this.
-TAKEOVER_SPREAD_SECONDS = 0.02
-# Time for which a router that has just started relies on its peers only: a few times the duration
-# of three consecutive round trips between data centres.
-PEERS_ONLY_SECONDS = 0.3
 
 
 @records.record
@@ -99,10 +79,7 @@
       roster_requested_at: Monotonic seconds of the last request for the roster of a router, by its
         name.
       replied_at: Monotonic seconds of the last request or reply to a router, by peer address.
-      follower_seen_at: Monotonic seconds of the last status message by which a relay follows the
-        store or hears from one that does.
-      preceding_follower_seen_at: The same, from relays before this one in the order of followers.
-      must_follow: Set while this router has to access the store itself.
+      store_following: Whether this router follows the store itself.
       announced_at: Monotonic seconds at which status messages were last sent.
       reserve_announced_at: The same for messages to reserve routers.
       next_regular_at: Monotonic seconds at which the next regular status messages are due.
@@ -139,9 +116,7 @@
         self.suspects = relaying.Outbox()
         self.roster_requested_at: dict[str, float] = {}
         self.replied_at: dict[str, float] = {}
-        self.follower_seen_at = -1e9
-        self.preceding_follower_seen_at = -1e9
-        self.must_follow = gevent.event.Event()
+        self.store_following = store_following.StoreFollowing(config, table, self.clock)
         self.started_at = self.clock.monotonic()
         self.repeat_filter = logs.RepeatFilter(self.clock)
         self.server: peers.PeerServer | None = None
@@ -192,58 +167,6 @@
         index = sum(router.name < self.table.own.name for router in other_relays)
         return index if index < cache_store_watcher.MAX_WATCHERS else None
 
-    def must_follow_store(self) -> bool:
-        """Return whether this router has to access the store, for rows and leases, itself.
-
-        In a full mesh all routers have to. Otherwise `STORE_FOLLOWERS` relays have to, and the
-        others get the rows from these, either directly or through the relays of their data centre.
-        Each router replaces the followers when it does not hear of one any more. Of routers that
-        start together and do not know each other yet, those with the most CPU capacity access the
-        store first.
-        """
-        now = self.clock.monotonic()
-        has_other_seeds = any(
-            seed != self.settings.reachable_address for seed in self.settings.seeds
-        )
-        if not has_other_seeds and not self.table.known:
-            return True
-        age = now - self.started_at
-        if age < PEERS_ONLY_SECONDS:
-            return False
-        rank = self.table.store_rank(now)
-        is_settled = age >= SETTLING_SECONDS or self.table.is_top_ranked(now)
-        if rank is not None and rank < STORE_FOLLOWERS and is_settled:
-            return True
-        if age < RELAY_TIMEOUT_SECONDS:
-            return False
-        if rank is None:
-            seen_at, delay = self.follower_seen_at, self._takeover_delay()
-        else:
-            seen_at, delay = self.preceding_follower_seen_at, rank * FOLLOWER_RANK_SECONDS
-        return now - max(seen_at, self.started_at) > RELAY_TIMEOUT_SECONDS + delay
-
-    def may_order_weights(self) -> bool:
-        """Return whether this router may contend for the lease for orders to endpoints."""
-        is_relay = self.table.store_rank(self.clock.monotonic()) is not None
-        return is_relay and self.must_follow_store()
-
-    def _takeover_delay(self) -> float:
-        """Return by how many seconds this router, which is no relay, lets others go first."""
-        count = 1 + len(self.table.known)
-        position = zlib.crc32(self.table.own.name.encode()) % count
-        return position * TAKEOVER_SPREAD_SECONDS
-
-    def poll_factor(self) -> float:
-        """Return by how much this router extends its pauses between failed calls to the store.
-
-        A router that is no relay does so by the number of routers, so that all of them together
-        call the store at the same rate in a deployment of any size.
-        """
-        now = self.clock.monotonic()
-        if self.table.store_rank(now) is not None:
-            return 1.0
-        return max(1.0, (1 + len(self.table.known)) / routers.MAX_MESH_ROUTERS)
-
     def _on_crash(self, incarnation: str, fingerprints: list[str]) -> None:
         self.crashes.add(gossip.CrashUpdate(incarnation, tuple(fingerprints)))
 
@@ -294,14 +217,11 @@
             self.table.remove_silent(now)
             self._record_members(now)
         self.next_tick = self.next_regular_at
-        peers_only_until = self.started_at + PEERS_ONLY_SECONDS
+        peers_only_until = self.started_at + store_following.PEERS_ONLY_SECONDS
         if now < peers_only_until:
             self.next_tick = min(self.next_tick, peers_only_until)
         self._announce(now, is_regular)
-        if self.must_follow_store():
-            self.must_follow.set()
-        else:
-            self.must_follow.clear()
+        self.store_following.update()
 
     def _status_interval(self, now: float) -> float:
         """Return the interval of this router's regular status messages in seconds."""
@@ -366,7 +286,8 @@
         targets = {
             r.peer_address: self.table.audience(r, now) for r in self.table.status_targets(now)
         }
-        if not self.table.heard_directly(now) or now - self.started_at < RELAY_TIMEOUT_SECONDS:
+        is_new = now - self.started_at < store_following.RELAY_TIMEOUT_SECONDS
+        if is_new or not self.table.heard_directly(now):
             for seed in self.settings.seeds:
                 targets.setdefault(seed, routers.Audience.FELLOW)
         targets.pop(self.settings.reachable_address, None)
@@ -406,7 +327,7 @@
             router=router,
             scope=relaying.SCOPE_BY_AUDIENCE[audience].value,
             table_versions=self._table_versions(),
-            is_following=self._announces_follower(audience, now),
+            is_following=self._announces_follower(audience),
             roster_checksum=routers.checksum(roster) if roster else 0,
             loads=relaying.loads_for(self.cluster_state.endpoints.states, audience, now),
             weights=self.weights_tracker.updates_for(audience),
@@ -422,7 +343,7 @@
             cache_store_epochs=self._cache_store_epochs(audience),
         )
 
-    def _announces_follower(self, audience: routers.Audience, now: float) -> bool:
+    def _announces_follower(self, audience: routers.Audience) -> bool:
         """Return whether an audience can rely on this router for the rows of the store.
 
         A relay also states this to the routers that it relays to while it hears directly from
@@ -430,25 +351,7 @@
         """
         if self.cluster_state.is_following():
             return True
-        is_recent = now - self.follower_seen_at < RELAY_TIMEOUT_SECONDS
-        return is_recent and relaying.has_full_scope(audience)
-
-    def _record_follower(self, message: gossip.Status, now: float) -> None:
-        """Record that a router follows the store or, if it is a relay of this one, hears of one."""
-        topology = self.table.current_topology(now)
-        name = message.router.name
-        own_rank = self.table.store_rank(now)
-        if own_rank is None or topology.is_mesh:
-            self.follower_seen_at = self.preceding_follower_seen_at = now
-            return
-        if name not in topology.store_order:
-            return
-        # A statement about other routers is not repeated, as two relays could repeat it to each
-        # other forever.
-        if relaying.Scope(message.scope) is not relaying.Scope.ALL:
-            self.follower_seen_at = now
-        if topology.store_order.index(name) < own_rank:
-            self.preceding_follower_seen_at = now
+        return relaying.has_full_scope(audience) and self.store_following.hears_follower()
 
     def _cache_store_epochs(self, audience: routers.Audience) -> tuple[tuple[str, int], ...]:
         """Return the epochs of the cache stores to report to an audience.
@@ -523,7 +426,7 @@
             if address != self.watched_store():
                 self.components.index.record_store_epoch(address, epoch)
         if message.is_following:
-            self._record_follower(message, now)
+            self.store_following.record_follower(message)
         self._compare_tables(message, now)
 
     def _compare_rosters(self, message: gossip.Status, now: float) -> None:
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -165,7 +165,7 @@
     def _follow_store(self, name: str) -> None:
         """Read the store as the feeds do, but without their delays."""
         member = self.gateways[name]
-        needed = member.peering.must_follow_store()
+        needed = member.peering.store_following.is_needed()
         is_up = name not in self.partitioned_from_store if needed else None
         for table in member.cluster_state.replicas:
             member.cluster_state.record_store_contact(table, is_up)
@@ -181,7 +181,7 @@
 
     def is_follower(self, name: str) -> bool:
         """Return whether a running router currently follows the store."""
-        return name not in self.down and self.gateways[name].peering.must_follow_store()
+        return name not in self.down and self.gateways[name].peering.store_following.is_needed()
 
     def configuration_versions(self) -> dict[str, int]:
         """Return the version of the configuration in force at each running router, 0 for none."""
