Log lost attempts with their prompt parts, and which of them count as a crash

Cause: the logs could not tell the three hypotheses of the crashing prompt part apart. Change: event attempt_lost (begun, counted, fingerprint, parts), crash_confirmed, crash_unconfirmed, counter endpoint_crashes. No change of logic.

--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -44,6 +44,9 @@
       choice: The chosen endpoint.
       caller: `ingress.CallerConnection`.
       router_count: Routers that share the retry budget.
+
+    Attributes:
+      has_begun: Whether an event of the response has arrived.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         self.started_at = components.clock.monotonic()
         self.channel: http1.Channel | None = None
         self.is_pooled = False
+        self.has_begun = False
 
     def release_backlog(self) -> None:
         """Subtract the prompt from the endpoint's prefill backlog."""
@@ -92,7 +96,9 @@
         except TimeoutError:
             return failures.PossiblyExecuted("silent")
         except http1.EndOfStreamError as error:
-            return failures.PossiblyExecuted("lost", is_crash=error.is_reset)
+            return failures.PossiblyExecuted(
+                "lost", is_crash=error.is_reset, has_begun=self.has_begun
+            )
         except http1.FramingError:
             return failures.PossiblyExecuted("garbled")
         finally:
@@ -254,7 +260,6 @@
 
     def _relay_stream(self, response: model.ResponseHead, framing: http1.Framing):
         buffer = sse.EventBuffer()
-        has_first_event = False
         first_event_timeout = self._response_timeout()
         progress_at = self.started_at
         for piece in self.channel.iter_body(framing):
@@ -263,11 +268,11 @@
             has_progress = not all(map(sse.is_comment, events))
             if has_progress:
                 progress_at = now
-            if has_progress and not has_first_event:
-                has_first_event = True
+            if has_progress and not self.has_begun:
+                self.has_begun = True
                 self._on_first_event(response)
             self._relay_events(response, events)
-            timeout = MAX_EVENT_GAP_SECONDS if has_first_event else first_event_timeout
+            timeout = MAX_EVENT_GAP_SECONDS if self.has_begun else first_event_timeout
             if now - progress_at > timeout and self._can_continue_elsewhere():
                 raise TimeoutError("the endpoint sends bytes but no events")
         if buffer.rest:
--- a/bronzemux/gateway/failures.py
+++ b/bronzemux/gateway/failures.py
@@ -62,9 +62,11 @@
       response: Head of the endpoint's error response, None without a complete one.
       body: Body of that response.
       is_crash: Whether the connection was lost in the way that it is when an endpoint crashes.
+      has_begun: Whether an event of the response had arrived.
     """
 
     cause: str
     response: model.ResponseHead | None = None
     body: bytes = b""
     is_crash: bool = False
+    has_begun: bool = False
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -146,10 +146,24 @@
         job.executions += 1
         if result.response is None or result.response.status >= 500:
             state.record_failure(now)
+        if result.cause == "lost":
+            self._log_lost_attempt(job, state, result)
         if result.is_crash:
             recent = self.lost_attempts.setdefault(state.endpoint.incarnation, [])
             recent.append((admission.fingerprint(job), now))
 
+    def _log_lost_attempt(self, job: jobs.Job, state, result: failures.PossiblyExecuted) -> None:
+        prompt = job.request.prompt
+        logs.event(
+            "attempt_lost",
+            id=job.request.id,
+            endpoint=state.endpoint.incarnation,
+            begun=result.has_begun,
+            counted=result.is_crash,
+            fingerprint=admission.fingerprint(job),
+            parts=",".join(part.id for part in prompt.shared_parts) if prompt else "",
+        )
+
     def _may_retry(self, job: jobs.Job, result) -> bool:
         """Return whether a request may be sent again; takes the retry out of the budget."""
         now = self.clock.monotonic()
@@ -332,7 +346,9 @@
         for incarnation in [
             key for key, found in self.lost_attempts.items() if found[-1][1] < oldest
         ]:
-            del self.lost_attempts[incarnation]
+            lost_count = len(self.lost_attempts.pop(incarnation))
+            self.components.meters.crashes.labels("unconfirmed").inc()
+            logs.event("crash_unconfirmed", endpoint=incarnation, attempts=lost_count)
 
     def confirm_crash(self, incarnation: str) -> None:
         """Record the crash of an unreachable endpoint, with the requests that were lost there."""
@@ -344,6 +360,13 @@
         ]
         if not fingerprints:
             return
+        self.components.meters.crashes.labels("confirmed").inc()
+        logs.event(
+            "crash_confirmed",
+            "warning",
+            endpoint=incarnation,
+            fingerprints=",".join(fingerprints),
+        )
         for item in self.components.quarantine.record_crash(
             incarnation, incarnation, fingerprints, now
         ):
--- a/bronzemux/gateway/meters.py
+++ b/bronzemux/gateway/meters.py
@@ -23,6 +23,9 @@
         )
         self.retries = self._counter("retries", "Arrivals after the first", "service")
         self.refusals = self._counter("refusals", "Refusals by status", "status")
+        self.crashes = self._counter(
+            "endpoint_crashes", "Endpoints whose attempts were lost", "outcome"
+        )
         self.first_event = self._histogram("first_answer_seconds", "Time to first answer byte")
         self.total = self._histogram("request_seconds", "Time to the end of the answer")
         self.waited = self._histogram("queue_seconds", "Time until an endpoint was chosen")
