Show in a test that a shared prompt part crashes endpoint after endpoint

Cause: see docs/incidents; the quarantine identifies requests by their whole content, and does not count the request that crashes. Change: a stand-in endpoint that crashes when it begins to respond to a prompt part, and a scenario with four forms of prompt (the crashing part below a shared one, above another, below a new one, above a new one).

--- a/bronzemux/platform/standin_worker.py
+++ b/bronzemux/platform/standin_worker.py
@@ -110,6 +110,9 @@
       load_seconds: Time that loading weights takes.
       order_fault: "late" to accept orders after a delay and "lost" to accept them at once, both
         without a response; empty for none.
+      crashing_parts: Ids of the prompt parts on which it crashes when it begins to respond.
+      has_crashed: Whether it has crashed; it then accepts no connections.
+      channels: Its open connections.
       executed: Requests that it executed.
       arrivals: Number of requests received, without orders and report calls.
     """
@@ -123,6 +126,9 @@
         self.event_seconds = 0.0
         self.endless_seconds = 0.0
         self.has_comments = False
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.has_crashed = False
+        self.channels: set[http1.Channel] = set()
         self.open_connections = 0
         self.load_seconds = 0.05
         self.order_fault = ""
@@ -141,6 +147,13 @@
         """Stop accepting."""
         self.server.stop(timeout=0)
 
+    def crash(self) -> None:
+        """End all connections at once and accept no others, as a crashed process does."""
+        self.has_crashed = True
+        self.stop()
+        for channel in list(self.channels):
+            channel.sock.shutdown(socket.SHUT_RDWR)
+
     @property
     def address(self) -> str:
         """Return the IP address and port."""
@@ -172,6 +185,7 @@
         channel = http1.Channel(sock)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.open_connections += 1
+        self.channels.add(channel)
         try:
             while True:
                 head = channel.read_head()
@@ -184,6 +198,7 @@
             return
         finally:
             self.open_connections -= 1
+            self.channels.discard(channel)
             channel.close()
 
     def _serve(self, channel, head, body: bytes) -> bool:
@@ -281,6 +296,10 @@
             ("Transfer-Encoding", "chunked"),
         ]
         channel.send(http1.encode_head("HTTP/1.1 200 OK", fields))
+        parts = {part.partition(":")[0] for part in request.fields.get("prompt-prefix", "").split(",")}
+        if parts & self.crashing_parts:
+            self.crash()
+            return False
         for number in range(first, STREAM_EVENTS + 1):
             gevent.sleep(self.event_seconds / 2)
             if self.has_comments:
--- /dev/null
+++ b/features/gateway_quarantine.feature
@@ -0,0 +1,18 @@
+Feature: Quarantine of prompt parts that crash endpoints
+  A part of a prompt may crash every endpoint that begins to respond to it, whatever else the request
+  contains. Requests with that part stop; requests that share its other parts, or its team, do not.
+
+  # Guards against requests of one kind that crash endpoint after endpoint because no two are alike.
+  Scenario Outline: Requests that share only a crashing part stop reaching endpoints
+    Given a site of 2 gateways and 10 model endpoints that crash on the part "dead"
+    When 12 requests with the parts "<parts>" arrive at the gateways in turn, each after a sound one
+    Then at most 5 endpoints have crashed
+    And the last 4 requests with the part got 503 and ran nowhere
+    And every sound request after the last crash got 200
+
+    Examples:
+      | parts            |
+      | top,dead         |
+      | top,dead,below   |
+      | new-{n},dead     |
+      | dead,below-{n}   |
