--- a/bronzemux/candidates.py
+++ b/bronzemux/candidates.py
@@ -15,7 +15,7 @@
     Args:
       endpoints: State of the endpoints.
       suspects: Suspected and quarantined fingerprints.
-      running: Running requests, by endpoint and request id.
+      running: Assignments in progress, by endpoint and request id.
       random_source: Random number generator for choices between weights versions.
     """
 
@@ -23,7 +23,7 @@
         self,
         endpoints: fleet.Fleet,
         suspects: quarantine.Quarantine,
-        running: dict[str, dict[str, requests.Request]],
+        running: dict[str, dict[str, messages.Assignment]],
         random_source: random.Random,
     ):
         self.fleet = endpoints
@@ -38,7 +38,7 @@
         another such request.
         """
         options = self._options(message)
-        if self.quarantine.is_suspect(message.request.fingerprint):
+        if self.quarantine.suspicion(message.request.fingerprints):
             without_suspect = ~self._suspect_mask()
             options = [(variant, allowed & without_suspect) for variant, allowed in options]
         options = [option for option in options if option[1].any()]
@@ -87,4 +87,4 @@
 
     def _runs_suspect(self, name: str) -> bool:
         running = self.running.get(name, {}).values()
-        return any(self.quarantine.is_suspect(request.fingerprint) for request in running)
+        return any(self.quarantine.suspicion(item.request.fingerprints) for item in running)
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -61,7 +61,7 @@
       on_quarantine: Called with newly quarantined fingerprints.
 
     Attributes:
-      running: Running requests, by endpoint and request id.
+      running: Assignments in progress, by endpoint and request id.
       admitted_ids: Ids of the requests that count towards their team's concurrency limit.
       prefilling: Request id and endpoint of each attempt whose prefill has not ended.
       computed_fraction: Moving average of the fraction of prompt tokens that endpoints compute.
@@ -89,8 +89,9 @@
         self.limits = limits.TeamLimits()
         self.retry_budget = retries.RetryBudget()
         self.refusal_retry_budget = retries.RetryBudget(MIN_REFUSAL_RETRIES_PER_WINDOW)
-        self.quarantine = quarantine.Quarantine()
-        self.running: dict[str, dict[str, requests.Request]] = {}
+        self.quarantine = quarantine.Quarantine(is_nested=True)
+        self.running: dict[str, dict[str, messages.Assignment]] = {}
+        self.prefilling: set[tuple[str, str]] = set()
         self.preferences = preferences.PreferredEndpoints()
         self.cache_store_tracker = cache_store.CacheStoreTracker()
         random_source = random.Random(self.settings.data_centre)
@@ -106,9 +107,9 @@
             self.meters,
             self.clock,
             lambda fingerprints: self.on_quarantine(fingerprints),
+            self.prefilling,
         )
         self.admitted_ids: set[str] = set()
-        self.prefilling: set[tuple[str, str]] = set()
         self.computed_fraction = 1.0
 
     def initialise_state(self) -> None:
@@ -162,6 +163,7 @@
     def _handle_first_part(self, message: messages.FirstPart) -> None:
         assignment = message.assignment
         self._end_prefill(assignment)
+        self.quarantine.clear(assignment.request.fingerprints[:-1], self.clock.monotonic())
         if assignment.expected_seconds:
             seconds = self.clock.monotonic() - assignment.assigned_at
             name = assignment.endpoint.name
@@ -171,6 +173,7 @@
     def _handle_attempt_ended(self, message: messages.AttemptEnded) -> None:
         assignment = message.assignment
         name = assignment.endpoint.name
+        has_begun = (assignment.request.metadata.id, name) not in self.prefilling
         self._end_prefill(assignment)
         self.fleet.record_end(name)
         self.running.get(name, {}).pop(assignment.request.metadata.id, None)
@@ -179,7 +182,7 @@
         if message.error is None:
             self._record_success(message)
         else:
-            self.health.record_failure(message)
+            self.health.record_failure(message, has_begun)
         self._assign_waiting()
 
     @handle.register
@@ -230,8 +233,14 @@
 
     @handle.register
     def _handle_quarantined(self, message: messages.QuarantinedFingerprints) -> None:
+        now = self.clock.monotonic()
         for item in message.fingerprints:
-            self.quarantine.add(item, self.clock.monotonic())
+            self.quarantine.merge(
+                quarantine.Verdict(
+                    frozenset({item}), "other router", now, quarantine.FIRST_TERM_SECONDS
+                ),
+                now,
+            )
 
     @handle.register
     def _handle_limit_shares(self, message: messages.LimitShares) -> None:
@@ -252,7 +261,7 @@
             waiting=len(self.queue),
             running=sum(len(items) for items in self.running.values()),
             index_entries=len(self.index),
-            quarantined=len(self.quarantine.quarantined),
+            quarantined=len(self.quarantine.verdicts),
             endpoints=tuple(
                 self._endpoint_status(state, now) for state in self.fleet.states.values()
             ),
@@ -287,8 +296,9 @@
 
     def _check_admission(self, message: messages.Admit) -> admission.Ticket:
         request, now = message.request, self.clock.monotonic()
-        if self.quarantine.is_quarantined(request.fingerprint, now):
-            raise _quarantined_error(request.fingerprint)
+        verdict = self.quarantine.verdict_for(request.fingerprints, now)
+        if verdict is not None:
+            raise _quarantined_error(",".join(sorted(verdict.members)))
         if message.is_retry:
             self._check_retry(message, now)
         else:
@@ -433,7 +443,7 @@
         )
         self.fleet.record_start(endpoint.name, _tokens_to_compute(assignment))
         self.prefilling.add((request.metadata.id, endpoint.name))
-        self.running.setdefault(endpoint.name, {})[request.metadata.id] = request
+        self.running.setdefault(endpoint.name, {})[request.metadata.id] = assignment
         if choice.variant is not None:
             self.index.insert(endpoint.name, choice.variant.chain)
         self.meters.decisions.labels(endpoint.name).inc()
@@ -470,7 +480,7 @@
         name = assignment.endpoint.name
         self.fleet.record_success(name)
         self.fleet.update_slot_time(name, self.clock.monotonic() - assignment.assigned_at)
-        self.quarantine.clear(assignment.request.fingerprint)
+        self.quarantine.clear(assignment.request.fingerprints, self.clock.monotonic())
         if message.exported_pieces and assignment.variant:
             exported = assignment.variant.chain[: message.exported_pieces]
             self.cache_store_tracker.record_export(exported, message.incarnation)
@@ -505,7 +515,7 @@
 
 def _quarantined_error(fingerprint: str) -> errors.QuarantinedError:
     return errors.QuarantinedError(
-        f"requests with this content crashed endpoints (fingerprint {fingerprint})",
+        f"requests that begin alike crashed endpoints (fingerprint {fingerprint})",
         "change the content, or ask the operators to release the fingerprint",
     )
 
--- a/bronzemux/gateway/admission.py
+++ b/bronzemux/gateway/admission.py
@@ -2,7 +2,7 @@
 
 import zlib
 
-from bronzemux import quarantine, records
+from bronzemux import records
 from bronzemux.gateway import failures, model
 from bronzemux.gateway import job as jobs
 
@@ -94,13 +94,7 @@
             raise failures.RefusedError(
                 503, "the router is shutting down", "try another router", 0.0
             )
-        if self.components.quarantine.is_quarantined(fingerprint(job), self.clock.monotonic()):
-            raise failures.RefusedError(
-                503,
-                "the request crashed several endpoints",
-                "do not send it again unchanged",
-                retry_after=timeout_seconds,
-            )
+        check_quarantine(self.components, job, self.clock.monotonic())
         self.components.budget.record_request(job.service, arrived_at)
         return job
 
@@ -154,8 +148,25 @@
         return shares[-1].service
 
 
-def fingerprint(job: jobs.Job) -> str:
-    """Return a hash of the request's content that is the same for retries under other ids."""
-    team = job.team.name if job.team else ""
-    content = f"{job.request.method} {job.request.host} {job.request.target}\0".encode()
-    return quarantine.fingerprint(team, content + job.request.body)
+def check_quarantine(components: jobs.Components, job: jobs.Job, now: float) -> None:
+    """Refuse a request that has in common with others what crashed several endpoints.
+
+    Args:
+      components: Components of the gateway.
+      job: The request.
+      now: Monotonic seconds.
+
+    Raises:
+      failures.RefusedError: When a verdict applies to the request.
+    """
+    verdict = components.quarantine.verdict_for(job.fingerprints, now)
+    if verdict is None:
+        return
+    is_content = job.content_fingerprint in verdict.members
+    what = "the request" if is_content else "a part of the prompt"
+    raise failures.RefusedError(
+        503,
+        f"{what} crashed several endpoints",
+        "do not send it again unchanged",
+        retry_after=max(RETRY_AFTER_SECONDS, verdict.ends_at - now),
+    )
--- a/bronzemux/gateway/channels.py
+++ b/bronzemux/gateway/channels.py
@@ -124,6 +124,18 @@
     return True
 
 
+def refuses(address: str) -> bool:
+    """Return whether the VM of an address answers that no process listens there."""
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), CONNECT_SECONDS).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def is_reachable(address: str) -> bool:
     """Return whether an address accepts one of two TCP connections; tolerates one lost packet."""
     return accepts(address) or accepts(address)
--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -126,11 +126,14 @@
       is_suspected: Whether it is being probed, and gets no request meanwhile.
       is_down: Whether it accepts no connections and has sent nothing for a while.
       last_received_at: Monotonic seconds at which data from it last arrived.
-      attempts: Attempts in progress there, each with a method `abort_if_recoverable`.
+      attempts: Attempts in progress there, each with methods `abort_if_recoverable` and
+        `abort_if_quarantined`.
       weights: Newest known version by model.
       loading: Orders to load weights that are in progress, by model.
       peer_loads: Loads of other gateways and the time of their report, by source.
       reported: Load of this gateway that it last reported to its relays.
+      suspect_count: Attempts of this gateway there whose request is suspected of crashing endpoints
+        and whose response has not begun.
       is_gone: Whether the endpoint was removed, or replaced by a new incarnation.
       cached_peer_load: Sum of the loads of other gateways when it was last computed, None before.
       hash_name: The incarnation as input of rendezvous hashing.
@@ -153,6 +156,7 @@
     loading: dict[str, LoadOrder] = dataclasses.field(default_factory=dict)
     peer_loads: PeerLoads = dataclasses.field(default_factory=PeerLoads)
     reported: EndpointLoad = EndpointLoad()
+    suspect_count: int = 0
     is_gone: bool = False
     cached_peer_load: CachedPeerLoad | None = None
     hash_name: bytes = b""
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -47,6 +47,7 @@
 
     Attributes:
       has_begun: Whether an event of the response has arrived.
+      is_quarantined: Whether it was aborted because its request crashes endpoints.
     """
 
     def __init__(
@@ -69,6 +70,8 @@
         self.channel: http1.Channel | None = None
         self.is_pooled = False
         self.has_begun = False
+        self.is_quarantined = False
+        self.is_suspect = False
 
     def release_backlog(self) -> None:
         """Subtract the prompt from the endpoint's prefill backlog."""
@@ -95,10 +98,10 @@
             return self._send_and_receive()
         except TimeoutError:
             return failures.PossiblyExecuted("silent")
-        except http1.EndOfStreamError as error:
-            return failures.PossiblyExecuted(
-                "lost", is_crash=error.is_reset, has_begun=self.has_begun
-            )
+        except http1.EndOfStreamError:
+            cause = "quarantined" if self.is_quarantined else "lost"
+            is_crash = not self.channel.is_aborted
+            return failures.PossiblyExecuted(cause, is_crash=is_crash, has_begun=self.has_begun)
         except http1.FramingError:
             return failures.PossiblyExecuted("garbled")
         finally:
@@ -111,6 +114,28 @@
         if self._can_retry() or self.choice.backup is not None:
             self.channel.shutdown()
 
+    def abort_if_quarantined(self) -> None:
+        """Abort the attempt if a verdict applies to its request and no response has begun."""
+        if not self.has_begun and self._is_request_quarantined():
+            self.is_quarantined = True
+            self.channel.shutdown()
+
+    def _is_request_quarantined(self) -> bool:
+        now = self.clock.monotonic()
+        return self.components.quarantine.is_quarantined(self.job.fingerprints, now)
+
+    def mark_suspect(self) -> None:
+        """Count the attempt among those that may crash the endpoint."""
+        self.is_suspect = True
+        self.state.suspect_count += 1
+
+    def release_suspect(self) -> None:
+        """Undo `mark_suspect`, as the response has begun or the attempt has ended."""
+        if self.is_suspect:
+            self.is_suspect = False
+            self.state.suspect_count -= 1
+            self.components.wait_queue.wake()
+
     def _connect(self) -> http1.Channel:
         channel = None
         if self.job.route.is_idempotent:
@@ -138,11 +163,13 @@
         timeout = self._response_timeout()
         if choice.backup is not None:
             self.channel.on_read_timeout = self._should_keep_waiting
+        if self._is_request_quarantined():
+            return failures.NotExecuted("quarantined", has_arrived=False)
         job.is_attempt_in_flight = True
         is_sent = self.channel.send_until_response(data, timeout)
         head = self._read_final_head()
         if head is None:
-            return failures.PossiblyExecuted("lost", is_crash=True)
+            return failures.PossiblyExecuted("lost", is_crash=not self.channel.is_aborted)
         self.state.last_received_at = self.clock.monotonic()
         framing = http1.response_framing(head, job.request.method)
         response = self.components.protocol.decode_response(head)
@@ -286,6 +313,8 @@
     def _on_first_event(self, response: model.ResponseHead) -> None:
         now = self.clock.monotonic()
         self.release_backlog()
+        self.release_suspect()
+        self.components.crashes.record_begun(self.job.part_fingerprints)
         prompt = self.job.request.prompt
         if (
             prompt is not None
--- a/bronzemux/gateway/failures.py
+++ b/bronzemux/gateway/failures.py
@@ -61,7 +61,7 @@
       cause: Reason, for logs and metrics.
       response: Head of the endpoint's error response, None without a complete one.
       body: Body of that response.
-      is_crash: Whether the connection was lost in the way that it is when an endpoint crashes.
+      is_crash: Whether the endpoint's VM ended the connection, as when the endpoint crashes.
       has_begun: Whether an event of the response had arrived.
     """
 
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from bronzemux import logs
+from bronzemux import logs, quarantine
 from bronzemux.gateway import (
     admission,
     cache_index,
@@ -39,9 +39,10 @@
 # Requests stop using replaced weights this long before the bound, because a request needs time to
 # reach its endpoint.
 WEIGHTS_MARGIN_SECONDS = 1.0
-# A crashed endpoint stays unreachable for longer than this. A lost attempt therefore counts as a
-# crash only if its endpoint is found to be unreachable within this time.
-CRASH_CONFIRMATION_SECONDS = 2.0
+# A suspect that was lost in this many crashes is sent to one endpoint at a time.
+SERIAL_SUSPICION = 2
+# Endpoints among which a suspect goes to the one with the fewest requests.
+SUSPECT_ENDPOINTS = 2
 # Responses on replaced weights keep their full value for this long after newer weights were
 # requested.
 STALE_WEIGHTS_GRACE_SECONDS = 1.5
@@ -51,12 +52,8 @@
     """Forwards requests to endpoints.
 
     Attributes:
-      on_crash: Called with the incarnation of a crashed endpoint and the fingerprints of the
-        requests that were lost there; None for no listener.
       on_first_request: Called when a request goes to an endpoint while no other one is at any.
       in_flight: Requests at endpoints.
-      lost_attempts: Fingerprint and monotonic seconds of attempts whose connection broke as in a
-        crash, by incarnation of the endpoint.
 
     Args:
       components: Components of the gateway.
@@ -67,10 +64,8 @@
         self.components = components
         self.clock = components.clock
         self.router_count = router_count
-        self.on_crash = None
         self.on_first_request: Callable[[], None] = lambda: None
         self.in_flight = 0
-        self.lost_attempts: dict[str, list[tuple[str, float]]] = {}
 
     # Serving
 
@@ -123,10 +118,13 @@
             job.choice = choice
             result = self._attempt(job, choice, caller)
             if isinstance(result, failures.Delivered):
-                if self.components.quarantine.crashes:
-                    self.components.quarantine.clear(admission.fingerprint(job))
+                self.components.crashes.record_begun(job.fingerprints)
                 return f"{result.status}"
             self._record_failure(job, choice, result)
+            if isinstance(result, failures.PossiblyExecuted) and result.is_crash:
+                self.components.crashes.wait_until_checked(choice.state.endpoint.incarnation)
+            if isinstance(result, failures.NotExecuted) or result.response is None:
+                admission.check_quarantine(self.components, job, self.clock.monotonic())
             choice = self._continue_from_backup(job, choice, result)
             if choice is None and not self._may_retry(job, result):
                 return self._give_up(job, caller, result)
@@ -149,8 +147,10 @@
         if result.cause == "lost":
             self._log_lost_attempt(job, state, result)
         if result.is_crash:
-            recent = self.lost_attempts.setdefault(state.endpoint.incarnation, [])
-            recent.append((admission.fingerprint(job), now))
+            # A response that had begun shows that the endpoint does not crash on the parts.
+            names = (job.content_fingerprint,) if result.has_begun else job.fingerprints
+            lost = quarantine.LostRequest(names, job.sent_at)
+            self.components.crashes.record_lost(state, lost)
 
     def _log_lost_attempt(self, job: jobs.Job, state, result: failures.PossiblyExecuted) -> None:
         prompt = job.request.prompt
@@ -160,7 +160,7 @@
             endpoint=state.endpoint.incarnation,
             begun=result.has_begun,
             counted=result.is_crash,
-            fingerprint=admission.fingerprint(job),
+            fingerprint=job.content_fingerprint,
             parts=",".join(part.id for part in prompt.shared_parts) if prompt else "",
         )
 
@@ -236,6 +236,7 @@
         give_up_at = min(job.deadline_at, started_at + MAX_WAIT_SECONDS)
         while True:
             now = self.clock.monotonic()
+            admission.check_quarantine(self.components, job, now)
             choice = self._try_choose(job, now, now - started_at < job.route.objective_seconds)
             if choice is not None:
                 job.waited_seconds += now - started_at
@@ -284,7 +285,8 @@
         )
         prompt = job.request.prompt
         if service is None or service.engine is None or prompt is None:
-            return placement.choose_plain(states, view, now)
+            choices = (placement.choose_plain(s, view, now) for s in self._isolate(job, states))
+            return next(filter(None, choices), None)
         requirements = placement.Requirements(
             prompt,
             job.team.name if job.team and job.team.is_isolated else "",
@@ -302,7 +304,32 @@
                 int(service.engine.cache_tokens * MAX_MEMORY_FRACTION) if has_memory_limit else 0
             ),
         )
-        return placement.choose_engine(states, requirements, view, now)
+        choices = (
+            placement.choose_engine(s, requirements, view, now) for s in self._isolate(job, states)
+        )
+        return next(filter(None, choices), None)
+
+    def _isolate(self, job: jobs.Job, states: list) -> list[list]:
+        """Return the lists of endpoints among which one is chosen, the preferred list first.
+
+        A request that is suspected of crashing endpoints goes to an endpoint with no other suspect,
+        so that a crash accuses only one. Different suspects prefer different endpoints; of these,
+        the one with the fewest requests is used. Other requests avoid endpoints with suspects.
+        """
+        suspects = self.components.quarantine
+        suspicion = suspects.suspicion(job.fingerprints)
+        without = [state for state in states if not state.suspect_count]
+        if not suspicion:
+            return [without or states]
+        if suspicion >= SERIAL_SUSPICION and any(
+            state.suspect_count for state in self.components.cluster_state.endpoints.states.values()
+        ):
+            return []
+        name = suspects.prime_suspect(job.fingerprints).encode()
+        ranked = sorted(without, key=lambda state: placement.hash_rank(name, state.hash_name))
+        now = self.clock.monotonic()
+        preferred = sorted(ranked[:SUSPECT_ENDPOINTS], key=lambda state: state.load(now)[0])[:1]
+        return [preferred, without]
 
     def _max_weights_age_seconds(self) -> float:
         return self.components.settings.bounds.weights_seconds - WEIGHTS_MARGIN_SECONDS
@@ -322,15 +349,19 @@
         reserved = [state] if choice.backup is None else [state, choice.backup]
         state.in_flight += 1
         self.in_flight += 1
+        job.sent_at = self.clock.monotonic()
         if self.in_flight == 1:
             self.on_first_request()
         state.backlog_tokens += choice.prefill_tokens
         for endpoint_state in reserved:
             endpoint_state.memory_tokens += memory
         attempt = exchange.Exchange(self.components, job, choice, caller, self.router_count())
+        if self.components.quarantine.suspicion(job.fingerprints):
+            attempt.mark_suspect()
         try:
             return attempt.run()
         finally:
+            attempt.release_suspect()
             state.in_flight -= 1
             self.in_flight -= 1
             for endpoint_state in reserved:
@@ -338,42 +369,6 @@
             attempt.release_backlog()
             self.components.wait_queue.wake()
 
-    # Crashes
-
-    def expire_lost_attempts(self) -> None:
-        """Drop lost attempts whose endpoint was not found unreachable in time."""
-        oldest = self.clock.monotonic() - CRASH_CONFIRMATION_SECONDS
-        for incarnation in [
-            key for key, found in self.lost_attempts.items() if found[-1][1] < oldest
-        ]:
-            lost_count = len(self.lost_attempts.pop(incarnation))
-            self.components.meters.crashes.labels("unconfirmed").inc()
-            logs.event("crash_unconfirmed", endpoint=incarnation, attempts=lost_count)
-
-    def confirm_crash(self, incarnation: str) -> None:
-        """Record the crash of an unreachable endpoint, with the requests that were lost there."""
-        now = self.clock.monotonic()
-        fingerprints = [
-            request_fingerprint
-            for request_fingerprint, at in self.lost_attempts.pop(incarnation, [])
-            if now - at < CRASH_CONFIRMATION_SECONDS
-        ]
-        if not fingerprints:
-            return
-        self.components.meters.crashes.labels("confirmed").inc()
-        logs.event(
-            "crash_confirmed",
-            "warning",
-            endpoint=incarnation,
-            fingerprints=",".join(fingerprints),
-        )
-        for item in self.components.quarantine.record_crash(
-            incarnation, incarnation, fingerprints, now
-        ):
-            logs.event("request_quarantined", "warning", fingerprint=item, endpoint=incarnation)
-        if self.on_crash is not None:
-            self.on_crash(incarnation, fingerprints)
-
     # Log
 
     def _log(self, job: jobs.Job, end: str) -> None:
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -1,6 +1,7 @@
 """The gateway process: assembly of its components, start-up and graceful shutdown."""
 
 import dataclasses
+import zlib
 
 import gevent
 import gevent.event
@@ -14,6 +15,7 @@
     cache_store_watcher,
     channels,
     cluster_state,
+    crash_attribution,
     directory,
     endpoints,
     feed,
@@ -185,16 +187,23 @@
         self.endpoints = endpoints.EndpointTable()
         self.cluster_state = cluster_state.ClusterState(platform.documents, clock, self.endpoints)
         wait_queue = waiting.WaitQueue()
+        probes = reachability.Reachability(clock, wait_queue.wake)
+        suspects = quarantine.Quarantine(
+            QUARANTINE_CRASH_COUNT, spread=zlib.crc32(config.name.encode()) / 2**32
+        )
         components = jobs.Components(
             config,
             clock,
             platform.protocol,
             self.cluster_state,
             channels.ChannelPool(clock),
-            reachability.Reachability(clock, wait_queue.wake),
+            probes,
             budget.ServiceRetryBudget(config.bounds),
             wait_queue,
-            quarantine.Quarantine(QUARANTINE_CRASH_COUNT),
+            suspects,
+            crash_attribution.CrashAttribution(
+                clock, suspects, self.endpoints, probes, self.meters, wait_queue.wake
+            ),
             cache_index.CacheIndex(),
             self.meters,
         )
@@ -334,10 +343,7 @@
         """Drop expired state and set the gauges."""
         self.cluster_state.expire()
         self.components.pool.prune()
-        for state in self.endpoints.states.values():
-            if state.is_suspected and self.forwarder.lost_attempts:
-                self.forwarder.confirm_crash(state.endpoint.incarnation)
-        self.forwarder.expire_lost_attempts()
+        self.components.crashes.expire()
         config = self.cluster_state.configuration
         self.meters.config_version.set(config.version if config else 0)
         self.meters.config_age.set(self.cluster_state.age())
--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -144,6 +144,68 @@
     suspects: tuple[str, ...] = ()
 
 
+@records.record
+class LostReport:
+    """Request that was lost in a crash.
+
+    Attributes:
+      fingerprints: Its fingerprints.
+      sent_ms_ago: Milliseconds since it was sent to the endpoint.
+    """
+
+    fingerprints: tuple[str, ...]
+    sent_ms_ago: int
+
+
+@records.record
+class CrashReport:
+    """Crash of an endpoint that a router met.
+
+    Attributes:
+      incarnation: Incarnation of the endpoint.
+      lost: Requests that were lost there.
+    """
+
+    incarnation: str
+    lost: tuple[LostReport, ...]
+
+
+@records.record
+class VerdictReport:
+    """Verdict about requests that crash endpoints.
+
+    Attributes:
+      members: Fingerprints that only these requests have all.
+      crash: Endpoint and incarnation of the crash that led to the verdict.
+      decided_ms_ago: Milliseconds since the decision.
+      term_ms: Milliseconds after the decision at which the term ends.
+    """
+
+    members: tuple[str, ...]
+    crash: str
+    decided_ms_ago: int
+    term_ms: int
+
+
+@records.record
+class QuarantineUpdate:
+    """Crashes, cleared fingerprints and all verdicts in force.
+
+    Attributes:
+      router: The sender.
+      scope: Value of `relaying.Scope`, which decides whether a relay forwards the first two.
+      crashes: Crashes of endpoints.
+      cleared: Fingerprints that are no longer suspected.
+      verdicts: Verdicts, the newest first.
+    """
+
+    router: Router
+    scope: str
+    crashes: tuple[CrashReport, ...] = ()
+    cleared: tuple[str, ...] = ()
+    verdicts: tuple[VerdictReport, ...] = ()
+
+
 @records.record
 class RosterRequest:
     """Request for the roster of the receiver.
@@ -226,11 +288,20 @@
     "rows-request": RowsRequest,
     "rows-reply": RowsReply,
     "rows-change": RowsChange,
+    "quarantine": QuarantineUpdate,
 }
 KIND_BY_TYPE = {kind: name for name, kind in KINDS.items()}
 FIELD_NAMES = {
     kind: tuple(field.name for field in dataclasses.fields(kind))
-    for kind in (*KINDS.values(), Router, CrashUpdate, rows.Batch)
+    for kind in (
+        *KINDS.values(),
+        Router,
+        CrashUpdate,
+        LostReport,
+        CrashReport,
+        VerdictReport,
+        rows.Batch,
+    )
 }
 ROWS_TYPES = frozenset({RowsReply, RowsChange})
 # Types whose values are all plain, with a function that returns them as a tuple. Messages contain
@@ -341,6 +412,49 @@
     )
 
 
+def _decode_quarantine_update(values) -> QuarantineUpdate:
+    router, scope, crashes, cleared, verdicts = _check_length(values, 5)
+    return QuarantineUpdate(
+        _decode_router(router),
+        _check_member(SCOPES, scope),
+        tuple(_decode_crash_report(item) for item in crashes),
+        _decode_texts(cleared),
+        tuple(decode_verdict_report(item) for item in verdicts),
+    )
+
+
+def _decode_crash_report(values) -> CrashReport:
+    incarnation, lost = _check_length(values, 2)
+    return CrashReport(
+        _check_type(incarnation, str),
+        tuple(
+            LostReport(_decode_texts(names), _check_type(age, int))
+            for names, age in (_check_length(item, 2) for item in lost)
+        ),
+    )
+
+
+def decode_verdict_report(values) -> VerdictReport:
+    """Return a verdict from the list of its values.
+
+    Raises:
+      TypeError: When a value has another type.
+    """
+    members, crash, age, term = _check_length(values, 4)
+    return VerdictReport(
+        _decode_texts(members),
+        _check_type(crash, str),
+        _check_type(age, int),
+        _check_type(term, int),
+    )
+
+
+def _decode_texts(values) -> tuple[str, ...]:
+    if not isinstance(values, list):
+        raise TypeError(f"got {type(values).__name__}, expected a list")
+    return tuple(_check_type(value, str) for value in values)
+
+
 def _check_member(allowed: frozenset[str], value) -> str:
     if value not in allowed:
         raise TypeError(f"got {value!r}, expected one of {sorted(allowed)}")
@@ -433,4 +547,5 @@
     "rows-request": _decode_rows_request,
     "rows-reply": _decode_rows_reply,
     "rows-change": _decode_rows_change,
+    "quarantine": _decode_quarantine_update,
 }
--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -211,6 +211,8 @@
         # Called when a read times out; returns whether to continue waiting.
         self.on_read_timeout: Callable[[], bool] | None = None
         self.turn_bytes = 0
+        # Set by `shutdown`: the end of the stream is then not the remote end's.
+        self.is_aborted = False
 
     def fill(self) -> bool:
         """Receive bytes into the buffer.
@@ -219,7 +221,7 @@
           Whether any bytes were received; False at the end of the stream.
 
         Raises:
-          EndOfStreamError: When the connection was reset.
+          EndOfStreamError: When the connection was reset, or shut down by this process.
           TimeoutError: When the socket's timeout expired.
         """
         while True:
@@ -231,6 +233,8 @@
                 raise
             except OSError as error:
                 raise EndOfStreamError(f"connection lost: {error}", is_reset=True) from error
+            if self.is_aborted:
+                raise EndOfStreamError("connection shut down by this process")
             self.buffer += data
             self.turn_bytes += len(data)
             if self.turn_bytes >= BYTES_PER_TURN:
@@ -403,6 +407,7 @@
 
     def shutdown(self) -> None:
         """Shut down both directions of the socket, which wakes the greenlet that reads it."""
+        self.is_aborted = True
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -1,6 +1,7 @@
 """State of a request while it is served, and the components that all requests share."""
 
 import dataclasses
+import functools
 
 from bronzemux import clock as clocks
 from bronzemux import quarantine, records
@@ -9,6 +10,7 @@
     cache_index,
     channels,
     cluster_state,
+    crash_attribution,
     meters,
     model,
     placement,
@@ -19,6 +21,8 @@
 
 # A request with less time than this left is not sent to another endpoint.
 MIN_ATTEMPT_SECONDS = 0.01
+# Bounds what a prompt with very many parts adds to the evidence of a crash.
+MAX_PART_FINGERPRINTS = 64
 # Engines distinguish ten urgencies, from 0, the most urgent, to this one.
 MAX_URGENCY = 9
 # Number of urgencies for each priority of a team; they represent the priorities of routes.
@@ -43,6 +47,7 @@
       tried: Incarnations of the endpoints whose attempts failed.
       last_event_id: Id of the last event that the caller has, None without one.
       is_response_started: Whether the head of the response was sent to the caller.
+      sent_at: Monotonic seconds at which the last attempt began.
       waited_seconds: Time spent waiting for an endpoint.
       first_at: Monotonic seconds of the first byte sent to the caller, None before that.
       choice: Endpoint of the last attempt, None before the first.
@@ -62,11 +67,40 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     last_event_id: int | None = None
     is_response_started: bool = False
+    sent_at: float = 0.0
     waited_seconds: float = 0.0
     first_at: float | None = None
     choice: placement.Choice | None = None
     failed_attempts: list[str] = dataclasses.field(default_factory=list)
 
+    @functools.cached_property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of the prompt's shared parts, in their order.
+
+        Parts with one id are the same for all teams, except for teams that share none.
+        """
+        prompt = self.request.prompt
+        if prompt is None:
+            return ()
+        scope = self.team.name if self.team is not None and self.team.is_isolated else ""
+        return tuple(
+            quarantine.fingerprint(scope, f"{prompt.model}\0{part.id}".encode())
+            for part in prompt.shared_parts[:MAX_PART_FINGERPRINTS]
+        )
+
+    @functools.cached_property
+    def content_fingerprint(self) -> str:
+        """Return a hash of the request's content that is the same for retries under other ids."""
+        request = self.request
+        content = f"{request.method} {request.host} {request.target}\0".encode()
+        team = self.team.name if self.team else ""
+        return quarantine.fingerprint(team, content + request.body)
+
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Return all fingerprints of the request; see `quarantine.LostRequest`."""
+        return (*self.part_fingerprints, self.content_fingerprint)
+
     @property
     def urgency(self) -> int:
         """Return the urgency, 0 for the most urgent: the team's priority, then the route's."""
@@ -87,5 +121,6 @@
     budget: budget.ServiceRetryBudget
     wait_queue: waiting.WaitQueue
     quarantine: quarantine.Quarantine
+    crashes: crash_attribution.CrashAttribution
     index: cache_index.CacheIndex
     meters: meters.GatewayMetrics
--- a/bronzemux/gateway/meters.py
+++ b/bronzemux/gateway/meters.py
@@ -26,6 +26,7 @@
         self.crashes = self._counter(
             "endpoint_crashes", "Endpoints whose attempts were lost", "outcome"
         )
+        self.verdicts = self._counter("quarantine_verdicts", "Verdicts that came into force")
         self.first_event = self._histogram("first_answer_seconds", "Time to first answer byte")
         self.total = self._histogram("request_seconds", "Time to the end of the answer")
         self.waited = self._histogram("queue_seconds", "Time until an endpoint was chosen")
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -15,6 +15,7 @@
     endpoints,
     forwarder,
     gossip,
+    quarantine_gossip,
     relaying,
     routers,
     rows,
@@ -72,7 +73,7 @@
       peers: Connections by peer address.
       table_lags: Tables of which a peer has a newer version, by name.
       prefixes: Updates about cached prefixes that have not been sent yet.
-      crashes: Updates about crashed endpoints that have not been sent yet.
+      quarantine_gossip: What is exchanged about requests that crash endpoints.
       suspects: Incarnations of suspected endpoints that have not been sent yet.
       watched_store: Returns the address of the cache store that this router watches, empty for
         none.
@@ -111,7 +112,6 @@
         self.peers: dict[str, peers.Peer] = {}
         self.table_lags: dict[str, TableLag] = {}
         self.prefixes = relaying.Outbox()
-        self.crashes = relaying.Outbox()
         self.watched_store: Callable[[], str] = lambda: ""
         self.suspects = relaying.Outbox()
         self.roster_requested_at: dict[str, float] = {}
@@ -122,7 +122,9 @@
         self.server: peers.PeerServer | None = None
         self.logged_names: frozenset[str] = frozenset()
         self.was_relay: bool | None = None
-        gateway_forwarder.on_crash = self._on_crash
+        self.quarantine_gossip = quarantine_gossip.QuarantineGossip(
+            self.components.crashes, self.clock, self.request_announcement
+        )
         gateway_forwarder.on_first_request = self._on_first_request
         self.announced_at = -1e9
         self.reserve_announced_at = -1e9
@@ -167,9 +169,6 @@
         index = sum(router.name < self.table.own.name for router in other_relays)
         return index if index < cache_store_watcher.MAX_WATCHERS else None
 
-    def _on_crash(self, incarnation: str, fingerprints: list[str]) -> None:
-        self.crashes.add(gossip.CrashUpdate(incarnation, tuple(fingerprints)))
-
     def _on_first_request(self) -> None:
         """Announce a reserve router's first request at once, so that its relays inform it more."""
         now = self.clock.monotonic()
@@ -266,9 +265,11 @@
             addresses = [address for address, found in targets.items() if found is audience]
             if not addresses:
                 continue
-            message = gossip.encode(self._status(router, audience, now))
-            for address in addresses:
-                self._send(address, message)
+            messages = [self._status(router, audience, now)]
+            messages += self.quarantine_gossip.messages_for(router, audience, now, is_regular)
+            for message in map(gossip.encode, messages):
+                for address in addresses:
+                    self._send(address, message)
 
     def _is_reserve_due(self, now: float) -> bool:
         """Return whether reserve routers get a message with the regular ones that are due.
@@ -276,7 +277,9 @@
         They get every second one, and all that contain crashed or suspected endpoints.
         """
         reserve = routers.Audience.RESERVE
-        is_urgent = bool(self.crashes.queues[reserve] or self.suspects.queues[reserve])
+        is_urgent = bool(self.suspects.queues[reserve]) or self.quarantine_gossip.has_updates(
+            reserve
+        )
         # Timers fire late by varying amounts, so that two intervals can be slightly too short.
         is_due = now - self.reserve_announced_at > routers.RESERVE_STATUS_SECONDS * 0.75
         return is_urgent or is_due
@@ -332,7 +335,6 @@
             loads=relaying.loads_for(self.cluster_state.endpoints.states, audience, now),
             weights=self.weights_tracker.updates_for(audience),
             prefixes=self.prefixes.pop_all(audience),
-            crashes=self.crashes.pop_all(audience),
             suspects=self.suspects.pop_all(audience),
             lease_version=self.weights_tracker.lease_version,
             weights_targets=tuple(
@@ -410,17 +412,13 @@
         for item in message.prefixes:
             self._apply_prefix(item, now)
             self.prefixes.add(item, audiences)
-        for item in message.crashes:
-            self.components.quarantine.record_crash(
-                item.incarnation, item.incarnation, list(item.fingerprints), now
-            )
-            self.crashes.add(item, audiences)
+        self.quarantine_gossip.apply_old_crashes(message.crashes)
         for incarnation in message.suspects:
             state = self.cluster_state.endpoints.states.get(incarnation.rpartition("/")[0])
             if state is not None and state.endpoint.incarnation == incarnation:
                 self.components.reachability.suspect(state)
             self.suspects.add(incarnation, audiences)
-        if audiences and (message.prefixes or message.crashes or message.suspects):
+        if audiences and (message.prefixes or message.suspects):
             self.request_announcement()
         for address, epoch in message.cache_store_epochs:
             if address != self.watched_store():
@@ -429,6 +427,14 @@
             self.store_following.record_follower(message)
         self._compare_tables(message, now)
 
+    @handle.register
+    def _handle_quarantine_update(self, message: gossip.QuarantineUpdate) -> None:
+        if message.router.name == self.table.own.name:
+            return
+        now = self.clock.monotonic()
+        audiences = relaying.forward_audiences(message, self.table, now)
+        self.quarantine_gossip.apply(message, audiences, now)
+
     def _compare_rosters(self, message: gossip.Status, now: float) -> None:
         """Request a roster that changed, and reply to a router that gets no regular messages."""
         router = message.router
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -108,7 +108,7 @@
             return ""
         return max(
             (address for address, _ in self.stores),
-            key=lambda address: _hash(keys[-1][0], address.encode()),
+            key=lambda address: hash_rank(keys[-1][0], address.encode()),
             default="",
         )
 
@@ -481,10 +481,11 @@
 def _ranked(candidates, keys) -> list[endpoints.EndpointState]:
     """Return the endpoints in the order of rendezvous hashing of the longest shared prefix."""
     key = keys[-1][0] if keys else b""
-    return sorted(candidates, key=lambda state: _hash(key, state.hash_name))
+    return sorted(candidates, key=lambda state: hash_rank(key, state.hash_name))
 
 
-def _hash(key: bytes, name: bytes) -> bytes:
+def hash_rank(key: bytes, name: bytes) -> bytes:
+    """Return the sort key of a name in the order of rendezvous hashing of a key."""
     return hashlib.blake2b(key + name, digest_size=8).digest()
 
 
--- a/bronzemux/health.py
+++ b/bronzemux/health.py
@@ -1,6 +1,6 @@
 """Endpoint health at one router: ejection, restarts and requests that crash endpoints."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from bronzemux import (
     cache_store,
@@ -29,13 +29,14 @@
       index: Prefix index.
       cache_store_tracker: Exports to the KV cache store.
       suspects: Suspected and quarantined fingerprints.
-      running: Running requests, by endpoint and request id.
+      running: Assignments in progress, by endpoint and request id.
       meters: Metrics of the router.
       clock: Source of time.
       on_quarantine: Called with newly quarantined fingerprints.
+      prefilling: Request id and endpoint of each attempt whose response has not begun.
 
     Attributes:
-      lost_attempts: Fingerprint and monotonic seconds of attempts that broke off, as in a crash, by
+      lost_attempts: Attempts that broke off, as in a crash, and the monotonic seconds of that, by
         endpoint and request id.
     """
 
@@ -45,10 +46,11 @@
         index: prefix_index.PrefixIndex,
         cache_store_tracker: cache_store.CacheStoreTracker,
         suspects: quarantine.Quarantine,
-        running: dict[str, dict[str, requests.Request]],
+        running: dict[str, dict[str, messages.Assignment]],
         meters: metrics.Metrics,
         clock: clocks.Clock,
         on_quarantine: Callable[[tuple[str, ...]], None],
+        prefilling: Set[tuple[str, str]] = frozenset(),
     ):
         self.fleet = endpoints
         self.index = index
@@ -58,10 +60,16 @@
         self.meters = meters
         self.clock = clock
         self.on_quarantine = on_quarantine
-        self.lost_attempts: dict[str, dict[str, tuple[str, float]]] = {}
+        self.prefilling = prefilling
+        self.lost_attempts: dict[str, dict[str, tuple[quarantine.LostRequest, float]]] = {}
 
-    def record_failure(self, message: messages.AttemptEnded) -> None:
-        """Record a failed attempt; eject or pause the endpoint if it caused the failure."""
+    def record_failure(self, message: messages.AttemptEnded, has_begun: bool) -> None:
+        """Record a failed attempt; eject or pause the endpoint if it caused the failure.
+
+        Args:
+          message: The end of the attempt.
+          has_begun: Whether a part of the response had arrived.
+        """
         error, assignment = message.error, message.assignment
         name = assignment.endpoint.name
         self.meters.attempt_failures.labels(type(error).__name__).inc()
@@ -75,12 +83,16 @@
         if self.fleet.record_failure(name, now, is_unreachable):
             logs.event("endpoint_ejected", "warning", endpoint=name, cause=type(error).__name__)
         if not is_unreachable:
-            self._record_lost_attempt(name, assignment.request, now)
+            self._record_lost_attempt(assignment, has_begun, now)
 
-    def _record_lost_attempt(self, name: str, request: requests.Request, now: float) -> None:
+    def _record_lost_attempt(
+        self, assignment: messages.Assignment, has_begun: bool, now: float
+    ) -> None:
         """Record an attempt that broke off; its request is suspected if the endpoint is dead."""
+        request, name = assignment.request, assignment.endpoint.name
         lost_attempts = self.lost_attempts.setdefault(name, {})
-        lost_attempts[request.metadata.id] = (request.fingerprint, now)
+        lost = _lost_request(request, has_begun, assignment.assigned_at)
+        lost_attempts[request.metadata.id] = (lost, now)
         while len(lost_attempts) > MAX_LOST_ATTEMPTS:
             del lost_attempts[next(iter(lost_attempts))]
 
@@ -98,12 +110,29 @@
         self.cache_store_tracker.record_death(incarnation)
         now = self.clock.monotonic()
         lost_attempts = self.lost_attempts.pop(name, {}).values()
-        fingerprints = {
-            fingerprint for fingerprint, at in lost_attempts if now - at < LOST_ATTEMPT_SECONDS
-        }
-        fingerprints |= {request.fingerprint for request in self.running.get(name, {}).values()}
-        newly_quarantined = self.quarantine.record_crash(name, incarnation, fingerprints, now)
+        lost = [item for item, at in lost_attempts if now - at < LOST_ATTEMPT_SECONDS]
+        lost += [
+            _lost_request(
+                assignment.request,
+                (request_id, name) not in self.prefilling,
+                assignment.assigned_at,
+            )
+            for request_id, assignment in self.running.get(name, {}).items()
+        ]
+        verdicts = self.quarantine.record_crash(name, incarnation, lost, now)
+        newly_quarantined = [member for verdict in verdicts for member in verdict.members]
         if newly_quarantined:
             self.meters.quarantined.inc(len(newly_quarantined))
             logs.event("quarantined", "warning", fingerprints=",".join(newly_quarantined))
             self.on_quarantine(tuple(newly_quarantined))
+
+
+def _lost_request(
+    request: requests.Request, has_begun: bool, sent_at: float
+) -> quarantine.LostRequest:
+    """Return what a crash tells about a request that it interrupted.
+
+    A response that had begun shows that the endpoint does not crash on the beginning of the prompt.
+    """
+    fingerprints = (request.fingerprint,) if has_begun else request.fingerprints
+    return quarantine.LostRequest(fingerprints, sent_at)
--- a/bronzemux/platform/standin_worker.py
+++ b/bronzemux/platform/standin_worker.py
@@ -296,7 +296,9 @@
             ("Transfer-Encoding", "chunked"),
         ]
         channel.send(http1.encode_head("HTTP/1.1 200 OK", fields))
-        parts = {part.partition(":")[0] for part in request.fields.get("prompt-prefix", "").split(",")}
+        parts = {
+            part.partition(":")[0] for part in request.fields.get("prompt-prefix", "").split(",")
+        }
         if parts & self.crashing_parts:
             self.crash()
             return False
--- a/bronzemux/prompt.py
+++ b/bronzemux/prompt.py
@@ -1,11 +1,13 @@
 """Conversion of a request body to the prompt bytes that are split into pieces."""
 
+import itertools
 from collections.abc import Mapping
 
 from bronzemux import config, errors
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
+MAX_PREFIXES = 128
 
 
 def render(path: str, body: Mapping) -> bytes:
@@ -28,6 +30,30 @@
         ) from error
 
 
+def prefix_lengths(path: str, body: Mapping, piece_bytes: int) -> list[int]:
+    """Return the lengths of the beginnings of a prompt that other prompts are likely to share.
+
+    They end after each message, and after each piece. Of more than `MAX_PREFIXES`, the shortest are
+    returned.
+
+    Args:
+      path: `CHAT_PATH` or `TEXT_PATH`.
+      body: Decoded JSON body, from which `render` makes a prompt.
+      piece_bytes: Size of a piece in bytes.
+
+    Returns:
+      Ascending numbers of bytes.
+    """
+    if path == CHAT_PATH:
+        messages = enumerate(body["messages"])
+        texts = [_message(position, message) for position, message in messages]
+    else:
+        texts = [_text(body["prompt"])]
+    ends = list(itertools.accumulate(len(text.encode()) for text in texts))
+    pieces = range(piece_bytes, ends[-1] + 1, piece_bytes)
+    return sorted({*ends, *pieces})[:MAX_PREFIXES]
+
+
 def token_estimate(prompt: bytes) -> int:
     """Return the estimated number of tokens of a prompt."""
     return max(1, len(prompt) // config.BYTES_PER_TOKEN)
--- a/bronzemux/quarantine.py
+++ b/bronzemux/quarantine.py
@@ -1,12 +1,30 @@
-"""Quarantine of requests that crash the endpoints that run them."""
+"""Quarantine of what requests that crash endpoints have in common.
+
+A request is described by fingerprints: of its whole content and of the parts of its prompt. Requests
+that crash endpoints may be alike in one part only, so crashes are counted for each fingerprint, and
+a verdict names all fingerprints of one lost request that were lost in enough crashes. It applies to
+the requests that contain all of them.
+"""
 
 import collections
+import dataclasses
 import hashlib
+from collections.abc import Iterable, Sequence
+
+from bronzemux import records
 
 CRASHES_TO_QUARANTINE = 2
-QUARANTINE_SECONDS = 3600.0
+# After the first term one request tests whether the crashes have ended; each further crash
+# multiplies the term.
+FIRST_TERM_SECONDS = 120.0
+TERM_FACTOR = 4.0
+MAX_TERM_SECONDS = 3600.0
+# Routers end a verdict at different times within this fraction of its term, so that one of them
+# tests first and the others learn the outcome.
+TERM_SPREAD_FRACTION = 0.2
 SUSPECT_SECONDS = 600.0
-MAX_FINGERPRINTS = 10_000
+MAX_FINGERPRINTS = 50_000
+MAX_VERDICTS = 1_000
 
 
 def fingerprint(team: str, content: bytes) -> str:
@@ -26,74 +44,305 @@
     return hasher.hexdigest()
 
 
+def prefix_fingerprints(scope: str, text: bytes, lengths: Sequence[int]) -> tuple[str, ...]:
+    """Return a hash of each of some beginnings of a prompt.
+
+    Args:
+      scope: What separates prompts that are not alike in spite of equal text.
+      text: The prompt.
+      lengths: Lengths of its beginnings in bytes, in ascending order.
+
+    Returns:
+      Hexadecimal digits.
+    """
+    hasher = hashlib.blake2b(digest_size=16)
+    hasher.update(len(scope).to_bytes(4, "big"))
+    hasher.update(scope.encode())
+    found, start = [], 0
+    for length in lengths:
+        hasher.update(text[start:length])
+        found.append(hasher.hexdigest())
+        start = length
+    return tuple(found)
+
+
+@records.record
+class LostRequest:
+    """Request that was lost in the crash of an endpoint before its response began.
+
+    Attributes:
+      fingerprints: Its fingerprints, from the part that most requests share to the whole request.
+      sent_at: Monotonic seconds at which it was sent to the endpoint.
+    """
+
+    fingerprints: tuple[str, ...]
+    sent_at: float
+
+
+@records.record
+class Verdict:
+    """Fingerprints that crash endpoints when one request has all of them.
+
+    Attributes:
+      members: The fingerprints.
+      crash: Endpoint and incarnation of the crash that led to it.
+      decided_at: Monotonic seconds of the decision.
+      term_seconds: Time after which a request may test whether the crashes have ended.
+    """
+
+    members: frozenset[str]
+    crash: str
+    decided_at: float
+    term_seconds: float
+
+    @property
+    def ends_at(self) -> float:
+        """Return the monotonic seconds at which the term ends."""
+        return self.decided_at + self.term_seconds
+
+
+@dataclasses.dataclass
+class Evidence:
+    """Crashes in which requests with one fingerprint were lost, with no response begun in between.
+
+    Attributes:
+      crashes: Monotonic seconds of each crash by endpoint and incarnation.
+      term_seconds: Term of the last verdict, 0 before the first.
+    """
+
+    crashes: dict[str, float] = dataclasses.field(default_factory=dict)
+    term_seconds: float = 0.0
+
+    @property
+    def last_crash_at(self) -> float:
+        """Return the monotonic seconds of the last crash."""
+        return max(self.crashes.values(), default=-1e9)
+
+
 class Quarantine:
-    """Fingerprints of requests that were in flight at an endpoint when it crashed.
+    """Fingerprints that are suspected of crashing endpoints, and verdicts about them.
 
-    A crash makes every request in flight there a suspect, including those that did not cause it.
-    A suspect is quarantined after crashes of `min_crashes` different endpoint incarnations within
-    `SUSPECT_SECONDS`, and cleared by a success.
+    A request counts only when it was sent after the previous crash of the same fingerprint, so that
+    endpoints that crash at the same time for another reason accuse no one. A response that begins
+    clears the fingerprints of its request, as the endpoint did not crash on them.
 
     Args:
-      min_crashes: Number of crashes after which a fingerprint is quarantined.
+      min_crashes: Number of crashes that lead to a verdict.
+      is_nested: Whether each fingerprint of a request implies those before it, so that a verdict
+        needs only the last one.
+      spread: Position of this router among all, from 0 to 1, for the end of a term.
 
     Attributes:
-      crashes: Monotonic seconds of each crash by endpoint and incarnation, by fingerprint.
-      quarantined: Monotonic seconds at which the quarantine ends, by fingerprint.
+      evidence: Crashes by fingerprint, the one with the oldest news first.
+      verdicts: Verdicts by their members.
+      cleared_at: Monotonic seconds at which a suspected fingerprint was cleared.
     """
 
-    def __init__(self, min_crashes: int = CRASHES_TO_QUARANTINE):
+    def __init__(
+        self,
+        min_crashes: int = CRASHES_TO_QUARANTINE,
+        is_nested: bool = False,
+        spread: float = 0.0,
+    ):
         self.min_crashes = min_crashes
-        self.crashes: collections.OrderedDict[str, dict[str, float]] = collections.OrderedDict()
-        self.quarantined: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self.is_nested = is_nested
+        self.spread = spread
+        self.evidence: collections.OrderedDict[str, Evidence] = collections.OrderedDict()
+        self.verdicts: collections.OrderedDict[frozenset[str], Verdict] = collections.OrderedDict()
+        self.cleared_at: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    # Evidence
 
-    def record_crash(self, endpoint: str, incarnation: str, fingerprints, now: float) -> list[str]:
-        """Record the requests in flight at an endpoint that crashed.
+    def record_crash(
+        self, endpoint: str, incarnation: str, lost: Iterable[LostRequest], now: float
+    ) -> list[Verdict]:
+        """Record the requests that were lost at an endpoint that crashed.
+
+        Several reports of one crash, from different routers, count as one crash.
 
         Args:
           endpoint: Name of the endpoint.
           incarnation: Identity of the process that crashed.
-          fingerprints: Fingerprints of the requests in flight there.
+          lost: Requests that were lost there.
+          now: Monotonic seconds.
+
+        Returns:
+          New verdicts.
+        """
+        crash, lost = f"{endpoint}/{incarnation}", list(lost)
+        if any(self.is_quarantined(item.fingerprints, now) for item in lost):
+            return []
+        for item in lost:
+            for name in item.fingerprints:
+                self._add_evidence(name, crash, item.sent_at, now)
+        while len(self.evidence) > MAX_FINGERPRINTS:
+            self.evidence.popitem(last=False)
+        candidates = {self._accused(item.fingerprints) for item in lost} - {frozenset()}
+        decided = []
+        for members in sorted(candidates, key=len, reverse=True):
+            if not self._is_explained(members, crash):
+                decided.append(self._decide(members, crash, now))
+        return decided
+
+    def _add_evidence(self, name: str, crash: str, sent_at: float, now: float) -> None:
+        known = self.evidence.setdefault(name, Evidence())
+        self.evidence.move_to_end(name)
+        for key in [key for key, at in known.crashes.items() if at <= now - SUSPECT_SECONDS]:
+            del known.crashes[key]
+        if crash not in known.crashes and sent_at >= known.last_crash_at:
+            known.crashes[crash] = now
+
+    def _accused(self, fingerprints: Sequence[str]) -> frozenset[str]:
+        """Return the fingerprints of one lost request that were lost in enough crashes."""
+        found = [
+            name
+            for name in fingerprints
+            if name in self.evidence and len(self.evidence[name].crashes) >= self.min_crashes
+        ]
+        return frozenset(found[-1:] if self.is_nested else found)
+
+    def _is_explained(self, members: frozenset[str], crash: str) -> bool:
+        """Return whether a more specific verdict was already reached for the same crash."""
+        return any(
+            verdict.crash == crash and members <= verdict.members
+            for verdict in self.verdicts.values()
+        )
+
+    def _decide(self, members: frozenset[str], crash: str, now: float) -> Verdict:
+        previous = max(self.evidence[name].term_seconds for name in members)
+        term = min(MAX_TERM_SECONDS, previous * TERM_FACTOR) if previous else FIRST_TERM_SECONDS
+        verdict = Verdict(members, crash, now, term)
+        self._add(verdict)
+        return verdict
+
+    def clear(self, fingerprints: Iterable[str], now: float) -> tuple[str, ...]:
+        """Record that a response began to a request with these fingerprints.
+
+        Args:
+          fingerprints: The fingerprints.
           now: Monotonic seconds.
 
         Returns:
-          Fingerprints that are newly quarantined.
+          The fingerprints that were suspected before, or part of a verdict.
         """
-        newly_quarantined = []
-        for request_fingerprint in fingerprints:
-            endpoint_crashes = self.crashes.setdefault(request_fingerprint, {})
-            for key in [key for key, at in endpoint_crashes.items() if at <= now - SUSPECT_SECONDS]:
-                del endpoint_crashes[key]
-            endpoint_crashes[f"{endpoint}/{incarnation}"] = now
-            if len(endpoint_crashes) >= self.min_crashes and self.add(request_fingerprint, now):
-                newly_quarantined.append(request_fingerprint)
-        while len(self.crashes) > MAX_FINGERPRINTS:
-            self.crashes.popitem(last=False)
-        return newly_quarantined
-
-    def clear(self, request_fingerprint: str) -> None:
-        """Record that a request with this fingerprint succeeded."""
-        self.crashes.pop(request_fingerprint, None)
-
-    def add(self, request_fingerprint: str, now: float) -> bool:
-        """Quarantine a fingerprint that this router or another one reported.
+        cleared = []
+        for name in fingerprints:
+            is_accused = self.evidence.pop(name, None) is not None
+            for verdict in [v for v in self.verdicts.values() if name in v.members]:
+                is_accused = True
+                del self.verdicts[verdict.members]
+                if rest := verdict.members - {name}:
+                    self.verdicts[rest] = dataclasses.replace(verdict, members=rest)
+            if is_accused:
+                cleared.append(name)
+                self.cleared_at[name] = now
+                self.cleared_at.move_to_end(name)
+        while len(self.cleared_at) > MAX_FINGERPRINTS:
+            self.cleared_at.popitem(last=False)
+        return tuple(cleared)
+
+    def suspicion(self, fingerprints: Iterable[str]) -> int:
+        """Return the most crashes that any of a request's fingerprints was lost in."""
+        if not self.evidence:
+            return 0
+        found = (self.evidence.get(name) for name in fingerprints)
+        return max((len(known.crashes) for known in found if known is not None), default=0)
+
+    def prime_suspect(self, fingerprints: Iterable[str]) -> str:
+        """Return the last of the fingerprints with the most crashes, empty without suspicion."""
+        best, best_count = "", 0
+        for name in fingerprints:
+            known = self.evidence.get(name)
+            if known is not None and len(known.crashes) >= max(1, best_count):
+                best, best_count = name, len(known.crashes)
+        return best
+
+    # Verdicts
+
+    def _add(self, verdict: Verdict) -> None:
+        self.verdicts[verdict.members] = verdict
+        self.verdicts.move_to_end(verdict.members)
+        while len(self.verdicts) > MAX_VERDICTS:
+            self.verdicts.popitem(last=False)
+
+    def merge(self, verdict: Verdict, now: float) -> bool:
+        """Add a verdict that another router reached or that was stored.
+
+        Fingerprints that were cleared after the decision are left out.
+
+        Args:
+          verdict: The verdict.
+          now: Monotonic seconds.
 
         Returns:
-          Whether it was not quarantined before.
+          Whether it was not known before.
         """
-        is_new = not self.is_quarantined(request_fingerprint, now)
-        self.quarantined[request_fingerprint] = now + QUARANTINE_SECONDS
-        while len(self.quarantined) > MAX_FINGERPRINTS:
-            self.quarantined.popitem(last=False)
-        return is_new
-
-    def is_quarantined(self, request_fingerprint: str, now: float) -> bool:
-        """Return whether requests with this fingerprint are rejected."""
-        until = self.quarantined.get(request_fingerprint)
-        if until is not None and until <= now:
-            del self.quarantined[request_fingerprint]
+        members = frozenset(
+            name
+            for name in verdict.members
+            if self.cleared_at.get(name, -1e9) <= verdict.decided_at
+        )
+        if not members or verdict.ends_at <= now:
+            return False
+        known = self.verdicts.get(members)
+        if known is not None and known.ends_at >= verdict.ends_at - 1.0:
+            return False
+        if known is None and self._is_explained(members, verdict.crash):
             return False
-        return until is not None
+        for other in [v for v in self.verdicts.values() if v.crash == verdict.crash]:
+            if other.members < members:
+                del self.verdicts[other.members]
+        for name in members:
+            term = max(verdict.term_seconds, self.evidence.get(name, Evidence()).term_seconds)
+            self.evidence.setdefault(name, Evidence()).term_seconds = term
+        self._add(dataclasses.replace(verdict, members=members))
+        return known is None
+
+    def contradicted(self, verdict: Verdict) -> tuple[str, ...]:
+        """Return the members of a verdict that were cleared after it was decided."""
+        return tuple(
+            name for name in verdict.members if self.cleared_at.get(name, -1e9) > verdict.decided_at
+        )
+
+    def verdict_for(self, fingerprints: Iterable[str], now: float) -> Verdict | None:
+        """Return the verdict that applies to a request, None when none does.
+
+        Args:
+          fingerprints: Fingerprints of the request.
+          now: Monotonic seconds.
+        """
+        if not self.verdicts:
+            return None
+        names = frozenset(fingerprints)
+        for verdict in list(self.verdicts.values()):
+            if verdict.members <= names and not self._ended(verdict, now):
+                return verdict
+        return None
+
+    def is_quarantined(self, fingerprints: Iterable[str], now: float) -> bool:
+        """Return whether requests with these fingerprints are rejected."""
+        return self.verdict_for(fingerprints, now) is not None
+
+    def active(self, now: float) -> list[Verdict]:
+        """Return the verdicts whose term has not ended, the newest first."""
+        return [v for v in reversed(self.verdicts.values()) if v.ends_at > now]
 
-    def is_suspect(self, request_fingerprint: str) -> bool:
-        """Return whether an endpoint crashed while it ran a request with this fingerprint."""
-        return request_fingerprint in self.crashes
+    def expire(self, now: float) -> list[Verdict]:
+        """Remove and return the verdicts whose term has ended at this router."""
+        return [verdict for verdict in list(self.verdicts.values()) if self._ended(verdict, now)]
+
+    def _ended(self, verdict: Verdict, now: float) -> bool:
+        """Return whether the term has ended at this router; the members are then suspects.
+
+        One more crash leads to the next verdict.
+        """
+        spread_seconds = TERM_SPREAD_FRACTION * self.spread * verdict.term_seconds
+        if now < verdict.ends_at + spread_seconds:
+            return False
+        self.verdicts.pop(verdict.members, None)
+        for name in verdict.members:
+            self.evidence[name] = Evidence(
+                {f"{verdict.crash}#{number}": now for number in range(self.min_crashes - 1)},
+                verdict.term_seconds,
+            )
+        return True
--- a/bronzemux/requests.py
+++ b/bronzemux/requests.py
@@ -71,6 +71,7 @@
       wants_stream: Whether the caller requested a stream.
       wants_usage: Whether the caller requested the usage part of a stream.
       fingerprint: Hash of team and content, see `quarantine.fingerprint`.
+      prefix_fingerprints: The same of the beginnings of the prompt, see `prompt.prefix_lengths`.
     """
 
     metadata: RequestMetadata
@@ -84,6 +85,12 @@
     wants_stream: bool
     wants_usage: bool
     fingerprint: str
+    prefix_fingerprints: tuple[str, ...] = ()
+
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Return all fingerprints, each of which implies those before it."""
+        return (*self.prefix_fingerprints, self.fingerprint)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,6 +115,11 @@
     body: bytes
     fingerprint: str
 
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Return all fingerprints."""
+        return (self.fingerprint,)
+
 
 Request = ModelRequest | ServiceRequest
 
@@ -181,6 +193,11 @@
         wants_stream=wants_stream,
         wants_usage=wants_usage,
         fingerprint=quarantine.fingerprint(authenticated.team.name, raw),
+        prefix_fingerprints=quarantine.prefix_fingerprints(
+            f"{authenticated.team.name}/{model.name}",
+            text,
+            prompt.prefix_lengths(path, body, authenticated.snapshot.config.deployment.piece_bytes),
+        ),
     )
 
 
--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -261,7 +261,9 @@
 def has_crashed(gateway, count: int) -> bool:
     """Return whether the gateway has recorded so many crashes for some request."""
     known = gateway.components.quarantine
-    return bool(known.quarantined) or any(len(found) == count for found in known.crashes.values())
+    return bool(known.verdicts) or any(
+        len(found.crashes) == count for found in known.evidence.values()
+    )
 
 
 @when(
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -152,7 +152,7 @@
     body = callers_steps.chat(messages=[{"role": "user", "content": context.poison}])
 
     def is_quarantined_everywhere() -> bool:
-        found = [r.dispatcher.quarantine.quarantined for r in context.deployment.routers]
+        found = [r.dispatcher.quarantine.verdicts for r in context.deployment.routers]
         return all(found)
 
     streams_steps.wait_for(is_quarantined_everywhere)
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -190,6 +190,17 @@
     context.reply = support.send(address, "POST", callers_steps.CHAT, key, body)
 
 
+@when('team "{team}" sends {count:d} prompts that begin with the poison text')
+def step_send_poison_prefix(context, team, count):
+    address = support.router_address(context.deployment)
+    key = context.deployment.key(team)
+    for number in range(count):
+        contents = [context.poison, f"question {number}"]
+        messages = [{"role": "user", "content": content} for content in contents]
+        body = callers_steps.chat(messages=messages)
+        context.reply = support.send(address, "POST", callers_steps.CHAT, key, body)
+
+
 @then("at most {count:d} engines have crashed")
 def step_crash_count(context, count):
     assert sum(not engine.is_up for engine in engines(context)) <= count
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -62,6 +62,15 @@
       | caseworkers | garbled   | 400    | invalid_request_error |
       | caseworkers | missing   | 400    | invalid_request_error |
 
+  # Guards against requests that share only the beginning of a prompt crashing engine after engine.
+  Scenario: Prompts that begin with a text that crashes engines stop reaching engines
+    Given engines crash on the text "poison"
+    When team "caseworkers" sends 5 prompts that begin with the poison text
+    Then at most 3 engines have crashed
+    And the error is "request_quarantined"
+    And team "caseworkers" streams a chat through router 1
+    And the response is complete, with 16 words
+
   Scenario: A request that crashes every engine is quarantined and other requests are served
     Given engines crash on the text "poison"
     When team "caseworkers" sends the poison text
