Keep the ports of parallel test processes apart

Seen: once, four features started together: 'Address already in use' at the start of a gateway (gateway_quarantine, example 1.1). Cause: processes with neighbouring ids began their search for ports one apart, so that one took a port between the look-up and the use of another. The same explains the router that was not ready when two suites were started together. Change: neighbouring processes begin 997 ports apart.

--- a/features/ports.py
+++ b/features/ports.py
@@ -7,10 +7,11 @@
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
 START_OFFSET_COUNT = 18_000
-# The start depends on the process id, so that parallel test processes try different ports.
-CANDIDATE_PORTS = itertools.chain(
-    range(FIRST_PORT + os.getpid() % START_OFFSET_COUNT, LAST_PORT), range(FIRST_PORT, LAST_PORT)
-)
+# More than the ports that one test process takes. Parallel processes have neighbouring ids, and start
+# this far apart; otherwise one of them could take a port between the look-up and the use of another.
+PORTS_PER_PROCESS = 997
+START_PORT = FIRST_PORT + os.getpid() * PORTS_PER_PROCESS % START_OFFSET_COUNT
+CANDIDATE_PORTS = itertools.chain(range(START_PORT, LAST_PORT), range(FIRST_PORT, LAST_PORT))
 
 
 def free_port() -> int:
