Excuse prompt parts that are known to be sound from twice the crashes

Cause: all endpoints had crashed, so that for 4 s no response began that would have cleared the busiest part; three crashes of the rarer part below it counted against it too, and the third crash took along a request that had only the busy part. Change: fingerprints to which a response began within 600 s need twice the crashes, here and when a verdict of another router is merged; the content includes the prompt; a term grows only after it has ended.

--- a/bronzemux/candidates.py
+++ b/bronzemux/candidates.py
@@ -4,6 +4,7 @@
 
 import numpy as np
 
+from bronzemux import clock as clocks
 from bronzemux import fleet, messages, quarantine, requests
 
 VersionOption = tuple[requests.Variant | None, np.ndarray]
@@ -17,6 +18,7 @@
       suspects: Suspected and quarantined fingerprints.
       running: Assignments in progress, by endpoint and request id.
       random_source: Random number generator for choices between weights versions.
+      clock: Source of time.
     """
 
     def __init__(
@@ -25,11 +27,13 @@
         suspects: quarantine.Quarantine,
         running: dict[str, dict[str, messages.Assignment]],
         random_source: random.Random,
+        clock: clocks.Clock,
     ):
         self.fleet = endpoints
         self.quarantine = suspects
         self.running = running
         self.random = random_source
+        self.clock = clock
 
     def pick(self, message: messages.Admit) -> VersionOption | None:
         """Return a weights version and its endpoints that may serve a request, None for none.
@@ -38,7 +42,7 @@
         another such request.
         """
         options = self._options(message)
-        if self.quarantine.suspicion(message.request.fingerprints):
+        if self.quarantine.suspicion(message.request.fingerprints, self.clock.monotonic()):
             without_suspect = ~self._suspect_mask()
             options = [(variant, allowed & without_suspect) for variant, allowed in options]
         options = [option for option in options if option[1].any()]
@@ -87,4 +91,5 @@
 
     def _runs_suspect(self, name: str) -> bool:
         running = self.running.get(name, {}).values()
-        return any(self.quarantine.suspicion(item.request.fingerprints) for item in running)
+        now = self.clock.monotonic()
+        return any(self.quarantine.suspicion(item.request.fingerprints, now) for item in running)
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -96,7 +96,7 @@
         self.cache_store_tracker = cache_store.CacheStoreTracker()
         random_source = random.Random(self.settings.data_centre)
         self.candidates = candidates.Candidates(
-            self.fleet, self.quarantine, self.running, random_source
+            self.fleet, self.quarantine, self.running, random_source, self.clock
         )
         self.health = health.Health(
             self.fleet,
@@ -163,7 +163,7 @@
     def _handle_first_part(self, message: messages.FirstPart) -> None:
         assignment = message.assignment
         self._end_prefill(assignment)
-        self.quarantine.clear(assignment.request.fingerprints[:-1], self.clock.monotonic())
+        self.quarantine.record_begun(assignment.request.fingerprints[:-1], self.clock.monotonic())
         if assignment.expected_seconds:
             seconds = self.clock.monotonic() - assignment.assigned_at
             name = assignment.endpoint.name
@@ -480,7 +480,7 @@
         name = assignment.endpoint.name
         self.fleet.record_success(name)
         self.fleet.update_slot_time(name, self.clock.monotonic() - assignment.assigned_at)
-        self.quarantine.clear(assignment.request.fingerprints, self.clock.monotonic())
+        self.quarantine.clear(assignment.request.fingerprints)
         if message.exported_pieces and assignment.variant:
             exported = assignment.variant.chain[: message.exported_pieces]
             self.cache_store_tracker.record_export(exported, message.incarnation)
--- a/bronzemux/gateway/crash_attribution.py
+++ b/bronzemux/gateway/crash_attribution.py
@@ -1,6 +1,6 @@
 """Attribution of endpoint crashes to what the requests that were lost there have in common."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -99,7 +99,7 @@
 
     def _confirm(self, state: endpoints.EndpointState) -> None:
         incarnation = state.endpoint.incarnation
-        lost = self.lost.pop(incarnation)
+        lost, now = self.lost.pop(incarnation), self.clock.monotonic()
         self.reachability.report(state, "connection refused after a lost request")
         self.meters.crashes.labels("confirmed").inc()
         verdicts = self.apply_crash(incarnation, lost, "own")
@@ -108,7 +108,7 @@
             "warning",
             endpoint=incarnation,
             lost=len(lost),
-            suspicion=max(self.quarantine.suspicion(item.fingerprints) for item in lost),
+            suspicion=max(self.quarantine.suspicion(item.fingerprints, now) for item in lost),
         )
         for verdict in verdicts:
             for listener in self.on_verdict:
@@ -138,11 +138,9 @@
 
     # Outcomes
 
-    def record_begun(self, fingerprints: Iterable[str]) -> None:
-        """Record that a response began to a request with these fingerprints."""
-        if not self.quarantine.evidence and not self.quarantine.verdicts:
-            return
-        cleared = self.quarantine.clear(fingerprints, self.clock.monotonic())
+    def record_begun(self, fingerprints: tuple[str, ...]) -> None:
+        """Record that a response began to a request with these fingerprints of prompt parts."""
+        cleared = self.quarantine.record_begun(fingerprints, self.clock.monotonic())
         if not cleared:
             return
         logs.event("suspects_cleared", fingerprints=",".join(cleared))
@@ -150,9 +148,13 @@
         for listener in self.on_cleared:
             listener(cleared)
 
+    def record_success(self, fingerprint: str) -> None:
+        """Record that a request with this fingerprint of its content was served."""
+        self.quarantine.clear((fingerprint,))
+
     def apply_cleared(self, fingerprints: tuple[str, ...]) -> None:
         """Record fingerprints that another gateway cleared."""
-        self.quarantine.clear(fingerprints, self.clock.monotonic())
+        self.quarantine.record_begun(fingerprints, self.clock.monotonic())
 
     # Verdicts
 
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -118,7 +118,7 @@
             job.choice = choice
             result = self._attempt(job, choice, caller)
             if isinstance(result, failures.Delivered):
-                self.components.crashes.record_begun(job.fingerprints)
+                self.components.crashes.record_success(job.content_fingerprint)
                 return f"{result.status}"
             self._record_failure(job, choice, result)
             if isinstance(result, failures.PossiblyExecuted) and result.is_crash:
@@ -316,8 +316,8 @@
         so that a crash accuses only one. Different suspects prefer different endpoints; of these,
         the one with the fewest requests is used. Other requests avoid endpoints with suspects.
         """
-        suspects = self.components.quarantine
-        suspicion = suspects.suspicion(job.fingerprints)
+        suspects, now = self.components.quarantine, self.clock.monotonic()
+        suspicion = suspects.suspicion(job.fingerprints, now)
         without = [state for state in states if not state.suspect_count]
         if not suspicion:
             return [without or states]
@@ -325,9 +325,8 @@
             state.suspect_count for state in self.components.cluster_state.endpoints.states.values()
         ):
             return []
-        name = suspects.prime_suspect(job.fingerprints).encode()
+        name = suspects.prime_suspect(job.fingerprints, now).encode()
         ranked = sorted(without, key=lambda state: placement.hash_rank(name, state.hash_name))
-        now = self.clock.monotonic()
         preferred = sorted(ranked[:SUSPECT_ENDPOINTS], key=lambda state: state.load(now)[0])[:1]
         return [preferred, without]
 
@@ -356,7 +355,7 @@
         for endpoint_state in reserved:
             endpoint_state.memory_tokens += memory
         attempt = exchange.Exchange(self.components, job, choice, caller, self.router_count())
-        if self.components.quarantine.suspicion(job.fingerprints):
+        if self.components.quarantine.suspicion(job.fingerprints, job.sent_at):
             attempt.mark_suspect()
         try:
             return attempt.run()
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -90,9 +90,14 @@
 
     @functools.cached_property
     def content_fingerprint(self) -> str:
-        """Return a hash of the request's content that is the same for retries under other ids."""
-        request = self.request
-        content = f"{request.method} {request.host} {request.target}\0".encode()
+        """Return a hash of the request's content that is the same for retries under other ids.
+
+        The description of the prompt is part of it, as requests for different prompts may be alike
+        in all else.
+        """
+        request, prompt = self.request, self.request.prompt
+        parts = ",".join(part.id for part in prompt.parts) if prompt is not None else ""
+        content = f"{request.method} {request.host} {request.target}\0{parts}\0".encode()
         team = self.team.name if self.team else ""
         return quarantine.fingerprint(team, content + request.body)
 
--- a/bronzemux/quarantine.py
+++ b/bronzemux/quarantine.py
@@ -23,6 +23,8 @@
 # tests first and the others learn the outcome.
 TERM_SPREAD_FRACTION = 0.2
 SUSPECT_SECONDS = 600.0
+# A fingerprint to which a response began within this time is known to be sound.
+SOUND_SECONDS = 600.0
 MAX_FINGERPRINTS = 50_000
 MAX_VERDICTS = 1_000
 
@@ -124,7 +126,9 @@
 
     A request counts only when it was sent after the previous crash of the same fingerprint, so that
     endpoints that crash at the same time for another reason accuse no one. A response that begins
-    clears the fingerprints of its request, as the endpoint did not crash on them.
+    clears the fingerprints of its request, as the endpoint did not crash on them. One that is known
+    to be sound needs twice as many crashes, so that a busy part is not accused of the crashes of a
+    rarer one in the same prompts while no endpoint is left to begin a response.
 
     Args:
       min_crashes: Number of crashes that lead to a verdict.
@@ -135,7 +139,7 @@
     Attributes:
       evidence: Crashes by fingerprint, the one with the oldest news first.
       verdicts: Verdicts by their members.
-      cleared_at: Monotonic seconds at which a suspected fingerprint was cleared.
+      begun_at: Monotonic seconds at which a response last began, by fingerprint.
     """
 
     def __init__(
@@ -149,7 +153,7 @@
         self.spread = spread
         self.evidence: collections.OrderedDict[str, Evidence] = collections.OrderedDict()
         self.verdicts: collections.OrderedDict[frozenset[str], Verdict] = collections.OrderedDict()
-        self.cleared_at: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self.begun_at: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     # Evidence
 
@@ -177,7 +181,7 @@
                 self._add_evidence(name, crash, item.sent_at, now)
         while len(self.evidence) > MAX_FINGERPRINTS:
             self.evidence.popitem(last=False)
-        candidates = {self._accused(item.fingerprints) for item in lost} - {frozenset()}
+        candidates = {self._accused(item.fingerprints, now) for item in lost} - {frozenset()}
         decided = []
         for members in sorted(candidates, key=len, reverse=True):
             if not self._is_explained(members, crash):
@@ -192,13 +196,9 @@
         if crash not in known.crashes and sent_at >= known.last_crash_at:
             known.crashes[crash] = now
 
-    def _accused(self, fingerprints: Sequence[str]) -> frozenset[str]:
+    def _accused(self, fingerprints: Sequence[str], now: float) -> frozenset[str]:
         """Return the fingerprints of one lost request that were lost in enough crashes."""
-        found = [
-            name
-            for name in fingerprints
-            if name in self.evidence and len(self.evidence[name].crashes) >= self.min_crashes
-        ]
+        found = [name for name in fingerprints if self._suspicion(name, now) >= self.min_crashes]
         return frozenset(found[-1:] if self.is_nested else found)
 
     def _is_explained(self, members: frozenset[str], crash: str) -> bool:
@@ -215,16 +215,45 @@
         self._add(verdict)
         return verdict
 
-    def clear(self, fingerprints: Iterable[str], now: float) -> tuple[str, ...]:
-        """Record that a response began to a request with these fingerprints.
+    def _suspicion(self, name: str, now: float) -> int:
+        """Return the crashes in which a fingerprint was lost, less those that soundness excuses."""
+        known = self.evidence.get(name)
+        if known is None:
+            return 0
+        excused = self.min_crashes if self._is_sound(name, now) else 0
+        return max(0, len(known.crashes) - excused)
+
+    def _is_sound(self, name: str, now: float) -> bool:
+        return now - self.begun_at.get(name, -1e9) < SOUND_SECONDS
+
+    def record_begun(self, fingerprints: Iterable[str], now: float) -> tuple[str, ...]:
+        """Record that a response began to a request with these fingerprints, and clear them.
 
         Args:
           fingerprints: The fingerprints.
           now: Monotonic seconds.
 
         Returns:
-          The fingerprints that were suspected before, or part of a verdict.
+          As `clear`.
         """
+        for name in fingerprints:
+            self.begun_at[name] = now
+            self.begun_at.move_to_end(name)
+        while len(self.begun_at) > MAX_FINGERPRINTS:
+            self.begun_at.popitem(last=False)
+        return self.clear(fingerprints)
+
+    def clear(self, fingerprints: Iterable[str]) -> tuple[str, ...]:
+        """Remove fingerprints from the suspects and the verdicts.
+
+        Args:
+          fingerprints: The fingerprints.
+
+        Returns:
+          Those that were suspected before, or part of a verdict.
+        """
+        if not self.evidence and not self.verdicts:
+            return ()
         cleared = []
         for name in fingerprints:
             is_accused = self.evidence.pop(name, None) is not None
@@ -235,26 +264,21 @@
                     self.verdicts[rest] = dataclasses.replace(verdict, members=rest)
             if is_accused:
                 cleared.append(name)
-                self.cleared_at[name] = now
-                self.cleared_at.move_to_end(name)
-        while len(self.cleared_at) > MAX_FINGERPRINTS:
-            self.cleared_at.popitem(last=False)
         return tuple(cleared)
 
-    def suspicion(self, fingerprints: Iterable[str]) -> int:
-        """Return the most crashes that any of a request's fingerprints was lost in."""
+    def suspicion(self, fingerprints: Iterable[str], now: float) -> int:
+        """Return the suspicion against a request: the number of crashes, 0 for none."""
         if not self.evidence:
             return 0
-        found = (self.evidence.get(name) for name in fingerprints)
-        return max((len(known.crashes) for known in found if known is not None), default=0)
+        return max((self._suspicion(name, now) for name in fingerprints), default=0)
 
-    def prime_suspect(self, fingerprints: Iterable[str]) -> str:
+    def prime_suspect(self, fingerprints: Iterable[str], now: float) -> str:
         """Return the last of the fingerprints with the most crashes, empty without suspicion."""
         best, best_count = "", 0
         for name in fingerprints:
-            known = self.evidence.get(name)
-            if known is not None and len(known.crashes) >= max(1, best_count):
-                best, best_count = name, len(known.crashes)
+            count = self._suspicion(name, now)
+            if count >= max(1, best_count):
+                best, best_count = name, count
         return best
 
     # Verdicts
@@ -268,7 +292,7 @@
     def merge(self, verdict: Verdict, now: float) -> bool:
         """Add a verdict that another router reached or that was stored.
 
-        Fingerprints that were cleared after the decision are left out.
+        Fingerprints that `contradicted` returns are left out.
 
         Args:
           verdict: The verdict.
@@ -277,11 +301,7 @@
         Returns:
           Whether it was not known before.
         """
-        members = frozenset(
-            name
-            for name in verdict.members
-            if self.cleared_at.get(name, -1e9) <= verdict.decided_at
-        )
+        members = verdict.members - set(self.contradicted(verdict))
         if not members or verdict.ends_at <= now:
             return False
         known = self.verdicts.get(members)
@@ -292,16 +312,19 @@
         for other in [v for v in self.verdicts.values() if v.crash == verdict.crash]:
             if other.members < members:
                 del self.verdicts[other.members]
-        for name in members:
-            term = max(verdict.term_seconds, self.evidence.get(name, Evidence()).term_seconds)
-            self.evidence.setdefault(name, Evidence()).term_seconds = term
         self._add(dataclasses.replace(verdict, members=members))
         return known is None
 
     def contradicted(self, verdict: Verdict) -> tuple[str, ...]:
-        """Return the members of a verdict that were cleared after it was decided."""
+        """Return the members of a verdict that this router knows to be sound.
+
+        A response to them began here after the decision, or before it without enough crashes since.
+        """
         return tuple(
-            name for name in verdict.members if self.cleared_at.get(name, -1e9) > verdict.decided_at
+            name
+            for name in verdict.members
+            if self._is_sound(name, verdict.decided_at)
+            and self._suspicion(name, verdict.decided_at) < self.min_crashes
         )
 
     def verdict_for(self, fingerprints: Iterable[str], now: float) -> Verdict | None:
@@ -336,13 +359,13 @@
 
         One more crash leads to the next verdict.
         """
-        spread_seconds = TERM_SPREAD_FRACTION * self.spread * verdict.term_seconds
-        if now < verdict.ends_at + spread_seconds:
+        ended_at = verdict.ends_at + TERM_SPREAD_FRACTION * self.spread * verdict.term_seconds
+        if now < ended_at:
             return False
         self.verdicts.pop(verdict.members, None)
         for name in verdict.members:
             self.evidence[name] = Evidence(
-                {f"{verdict.crash}#{number}": now for number in range(self.min_crashes - 1)},
+                {f"{verdict.crash}#{number}": ended_at for number in range(self.min_crashes - 1)},
                 verdict.term_seconds,
             )
         return True
