Take no refusal of an earlier request for that of the current one

Cause: a response without a request id was accepted on a reused connection; and a request that was refused could be sent again on the connection that had carried it, where a second copy of the refusal has the right id. Change: on a reused connection the response must have the id; a connection that has carried a request does not carry it again. The stand-in endpoint echoes the id in refusals, as the protocol says.

--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -72,6 +72,7 @@
         self.has_begun = False
         self.is_quarantined = False
         self.is_suspect = False
+        self.is_reused = False
 
     def release_backlog(self) -> None:
         """Subtract the prompt from the endpoint's prefill backlog."""
@@ -140,7 +141,14 @@
         channel = None
         if self.job.route.is_idempotent:
             channel = self.components.pool.acquire(self.state.endpoint.incarnation)
-        return channel or self.components.pool.open(self.state.endpoint.address)
+            # A response on a connection that has carried this request may belong to that attempt.
+            while channel is not None and channel in self.job.used_channels:
+                channel.close()
+                channel = self.components.pool.acquire(self.state.endpoint.incarnation)
+        self.is_reused = channel is not None
+        channel = channel or self.components.pool.open(self.state.endpoint.address)
+        self.job.used_channels.append(channel)
+        return channel
 
     def _send_and_receive(self):
         job, choice = self.job, self.choice
@@ -173,7 +181,8 @@
         self.state.last_received_at = self.clock.monotonic()
         framing = http1.response_framing(head, job.request.method)
         response = self.components.protocol.decode_response(head)
-        if response.request_id not in (None, job.request.id):
+        # On a reused connection, a response without an id may repeat an earlier one.
+        if response.request_id != job.request.id and (response.request_id or self.is_reused):
             return failures.PossiblyExecuted("crossed")
         if response.is_not_executed:
             return self._handle_rejection(response, framing, is_sent)
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -11,6 +11,7 @@
     channels,
     cluster_state,
     crash_attribution,
+    http1,
     meters,
     model,
     placement,
@@ -51,6 +52,7 @@
       waited_seconds: Time spent waiting for an endpoint.
       first_at: Monotonic seconds of the first byte sent to the caller, None before that.
       choice: Endpoint of the last attempt, None before the first.
+      used_channels: Connections on which the request was sent, or was about to be.
       failed_attempts: Endpoint and cause of each failed attempt, for the log.
     """
 
@@ -71,6 +73,7 @@
     waited_seconds: float = 0.0
     first_at: float | None = None
     choice: placement.Choice | None = None
+    used_channels: list[http1.Channel] = dataclasses.field(default_factory=list)
     failed_attempts: list[str] = dataclasses.field(default_factory=list)
 
     @functools.cached_property
--- a/bronzemux/platform/standin_worker.py
+++ b/bronzemux/platform/standin_worker.py
@@ -210,16 +210,24 @@
             return self._order(channel, head, body)
         self.arrivals += 1
         fields = dict(head.fields)
+        misdirected_fields = [
+            ("Instance-Id", self.identity),
+            ("Request-Id", fields.get("request-id", "")),
+        ]
         if fields.get("target-instance", self.identity) != self.identity:
-            return _send(channel, 421, b"", [("Instance-Id", self.identity)])
+            return _send(channel, 421, b"", misdirected_fields)
         expected, name = fields.get("expect-version"), fields.get("model")
         if expected is not None and int(expected) != self.weights.get(name, 0):
-            return _send(channel, 421, b"", [("Instance-Id", self.identity)])
+            return _send(channel, 421, b"", misdirected_fields)
         if self.fault is Fault.SHED or self.is_loading:
-            return _send(channel, 503, b"", [("Not-Executed", "1")])
+            return _send(
+                channel, 503, b"", [("Not-Executed", "1"), ("Request-Id", fields["request-id"])]
+            )
         backup_handle = fields.get("kv-from")
         if backup_handle is not None and not self._consume_backup(backup_handle):
-            return _send(channel, 503, b"", [("Not-Executed", "1")])
+            return _send(
+                channel, 503, b"", [("Not-Executed", "1"), ("Request-Id", fields["request-id"])]
+            )
         if "kv-backup" in fields:
             BACKUPS.add((fields["kv-backup"], fields["request-id"]))
         if self.fault is Fault.RESET:
