Treat a stream that ends with its connection before any event as broken off

Cause: the end of the connection ends such a body; nothing asked whether an event had arrived. An end after an event stays complete: nothing on the wire tells the difference. Test: three scenarios of features/gateway_broken_responses.feature failed before (stream/close/close at byte 68, 'no events' after a begun stream, 'A stream without length, chunks or events is not complete').

--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -311,8 +311,11 @@
             timeout = MAX_EVENT_GAP_SECONDS if self.has_begun else first_event_timeout
             if now - progress_at > timeout and self._can_continue_elsewhere():
                 raise TimeoutError("the endpoint sends bytes but no events")
-        if buffer.rest:
-            return failures.PossiblyExecuted("cut inside an event")
+        if buffer.rest or (framing.is_close_delimited and not self.has_begun):
+            cause = "cut inside an event" if buffer.rest else "lost"
+            return failures.PossiblyExecuted(
+                cause, is_crash=framing.is_close_delimited, has_begun=self.has_begun
+            )
         if not self.job.is_response_started:
             self._send_head(response)
         self._return_to_pool(response, framing, True)
