Keep verdicts about crashing requests in the store

Cause: verdicts were in the memory of the gateways only. A single gateway that restarts learns them from the others. Change: the gateway that reached a verdict writes it to the store; gateways that follow the store read them when they start. Test: 'Requests with a crashing part stay away from endpoints after all gateways restart at once' failed before (4 arrivals); the same after the restart of one gateway, with and without the store, passed before and after.

--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -30,6 +30,7 @@
     routers,
     rows,
     settings,
+    verdict_store,
     waiting,
     weights,
 )
@@ -219,6 +220,9 @@
         self.registration = Registration(self)
         self.peering = peering.Peering(config, self.forwarder, self.weights_tracker, self.routers)
         self.peering.watched_store = self._cache_store
+        self.verdict_store = verdict_store.VerdictStore(
+            components.crashes, platform.table, self.peering.store_following, clock
+        )
         self.weights_rollout = weights.WeightsRollout(
             config,
             self.cluster_state,
@@ -263,6 +267,7 @@
             )
         )
         self.supervisor.add(self.registration)
+        self.supervisor.add(self.verdict_store)
         self.supervisor.add(self.weights_rollout)
         self.supervisor.add(Housekeeping(self))
         logs.event(
--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -16,3 +16,17 @@
       | top,dead,below   |
       | new-{n},dead     |
       | dead,below-{n}   |
+
+  # Guards against a part that crashes endpoints again after the restart of the routers that knew it.
+  Scenario Outline: Requests with a crashing part stay away from endpoints after <what>
+    Given a site of 2 gateways and 10 model endpoints that crash on the part "dead"
+    And 5 requests with the parts "top,dead" have arrived at the gateways in turn
+    When <what>
+    And 4 more requests with the parts "top,dead" arrive at the gateways in turn
+    Then none of the 4 requests reached an endpoint
+
+    Examples:
+      | what                                     |
+      | all gateways restart at once             |
+      | one gateway restarts                     |
+      | one gateway restarts without the store   |
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -156,10 +156,7 @@
     def stop(self) -> None:
         """Stop the gateways, the endpoints and the store."""
         for started in self.gateways:
-            started.ingress.server.stop(timeout=0)
-            for server in started.admin_servers:
-                server.abort()
-            started.supervisor.stop()
+            stop_gateway(started)
         for worker in self.workers.values():
             worker.stop()
         self.store.stop()
@@ -212,6 +209,14 @@
         return http1.encode_head(f"{method} {path} HTTP/1.1", lines) + body
 
 
+def stop_gateway(started: gateway.Gateway) -> None:
+    """Stop a gateway at once."""
+    started.ingress.server.stop(timeout=0)
+    for server in started.admin_servers:
+        server.abort()
+    started.supervisor.stop()
+
+
 def read_reply(channel: http1.Channel, method: str = "POST") -> Reply:
     """Read one response, or the part of it that arrives."""
     body = bytearray()
