End verdicts in one place

Cause: looking up a verdict also ended it and changed the evidence, which a reader of a query does not expect. Checked by features/quarantine.feature (19 of 19).

--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -283,6 +283,7 @@
 
     def tick(self) -> None:
         """Reject requests whose deadline passed and assign waiting requests."""
+        self.quarantine.expire(self.clock.monotonic())
         for ticket in self.queue.expire(self.clock.monotonic()):
             self.meters.refusals.labels(errors.OverloadedError.kind).inc()
             self.preferences.forget(ticket.request_id)
--- a/bronzemux/quarantine.py
+++ b/bronzemux/quarantine.py
@@ -174,7 +174,9 @@
           New verdicts.
         """
         crash, lost = f"{endpoint}/{incarnation}", list(lost)
+        self.expire(now)
         if any(self.is_quarantined(item.fingerprints, now) for item in lost):
+            # The crash is explained: one of the requests was already known to cause crashes.
             return []
         for item in lost:
             for name in item.fingerprints:
@@ -337,8 +339,8 @@
         if not self.verdicts:
             return None
         names = frozenset(fingerprints)
-        for verdict in list(self.verdicts.values()):
-            if verdict.members <= names and not self._ended(verdict, now):
+        for verdict in self.verdicts.values():
+            if verdict.members <= names and not self._is_ended(verdict, now):
                 return verdict
         return None
 
@@ -351,21 +353,22 @@
         return [v for v in reversed(self.verdicts.values()) if v.ends_at > now]
 
     def expire(self, now: float) -> list[Verdict]:
-        """Remove and return the verdicts whose term has ended at this router."""
-        return [verdict for verdict in list(self.verdicts.values()) if self._ended(verdict, now)]
+        """End the verdicts whose term is over; return them.
 
-    def _ended(self, verdict: Verdict, now: float) -> bool:
-        """Return whether the term has ended at this router; the members are then suspects.
-
-        One more crash leads to the next verdict.
+        Their members are then suspects, and one more crash leads to the next verdict.
         """
-        ended_at = verdict.ends_at + TERM_SPREAD_FRACTION * self.spread * verdict.term_seconds
-        if now < ended_at:
-            return False
-        self.verdicts.pop(verdict.members, None)
-        for name in verdict.members:
-            self.evidence[name] = Evidence(
-                {f"{verdict.crash}#{number}": ended_at for number in range(self.min_crashes - 1)},
-                verdict.term_seconds,
-            )
-        return True
+        ended = [verdict for verdict in self.verdicts.values() if self._is_ended(verdict, now)]
+        for verdict in ended:
+            del self.verdicts[verdict.members]
+            ended_at = self._local_end(verdict)
+            for name in verdict.members:
+                crashes = {f"{verdict.crash}#{n}": ended_at for n in range(self.min_crashes - 1)}
+                self.evidence[name] = Evidence(crashes, verdict.term_seconds)
+        return ended
+
+    def _is_ended(self, verdict: Verdict, now: float) -> bool:
+        return now >= self._local_end(verdict)
+
+    def _local_end(self, verdict: Verdict) -> float:
+        """Return the monotonic seconds at which this router ends a verdict."""
+        return verdict.ends_at + TERM_SPREAD_FRACTION * self.spread * verdict.term_seconds
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -37,6 +37,7 @@
             self.quarantine.record_begun(argument.split(","), self.now)
         elif kind == "wait":
             self.now += float(argument)
+            self.quarantine.expire(self.now)
         else:
             raise AssertionError(f"unknown event {event!r}")
 
