--- a/features/soak.feature
+++ b/features/soak.feature
@@ -41,6 +41,7 @@
       | a response is lost although only a planned restart happened       | LOST      |
       | a request reaches an endpoint that has been draining for too long | DRAIN     |
       | retries exceed the retry budget                                   | BUDGET    |
+      | a prompt part crashes endpoints long after it has crashed five    | BUDGET    |
       | a load order has a lower fencing token than the one before        | ONE       |
       | two routers send load orders with one fencing token               | ONE       |
 
--- a/features/soak.py
+++ b/features/soak.py
@@ -57,6 +57,10 @@
 RECOVERY_TIMEOUT_SECONDS = 12.0
 STARTUP_TIMEOUT_SECONDS = 10.0
 CONFIG_PROPAGATION_SECONDS = 2.0
+# One request in so many has a part on which endpoints crash, once there is such a part.
+CRASHING_REQUEST_RATIO = 3
+MAX_CRASHING_PARTS = 2
+ENDPOINT_RESTART_SECONDS = 1.0
 MAX_PRINTED_VIOLATIONS = 20
 SEED_PROCESSES: list[subprocess.Popen] = []
 STORE_FAULTS = [fault for fault in standin_store.Fault if fault is not standin_store.Fault.NONE]
@@ -79,6 +83,8 @@
     def __init__(self, identity: str, service: str, history: soak_checker.History, weights=None):
         super().__init__(identity, service, weights)
         self.history = history
+        self.on_crash = lambda worker: None
+        self.started_at_ms = 1_000
         self.event_seconds = 0.03
         self.execution_seconds = 0.02
         self.start()
@@ -86,10 +92,21 @@
 
     def entry(self, **changes) -> dict:
         """Return the store entry, with the address of the proxy."""
-        return super().entry(address=self.proxy.address, **changes)
+        fields = {"address": self.proxy.address, "born": self.started_at_ms}
+        return super().entry(**(fields | changes))
+
+    def crash(self) -> None:
+        """Refuse connections and reset the open ones; `SoakRun` brings it back."""
+        if not self.proxy.is_down:
+            self.proxy.take_down()
+            gevent.spawn(self.on_crash, self)
 
     def _execute(self, channel, request) -> bool:
         fields = request.fields
+        parts = {part.partition(":")[0] for part in fields.get("prompt-prefix", "").split(",")}
+        for part in parts & self.crashing_parts:
+            crash = (fields.get("request-id", ""), time.monotonic())
+            self.history.part_crashes.setdefault(part, []).append(crash)
         self.history.executions.append(
             soak_checker.Execution(
                 fields.get("request-id", ""),
@@ -217,6 +234,7 @@
         self.workers: dict[str, RecordingWorker] = {}
         self.removed_workers: list[RecordingWorker] = []
         self.added_routes: list[tuple[str, float]] = []
+        self.crashing_parts: list[str] = []
         self.is_finished = False
         for number in range(1, 3):
             self._add_worker(f"app-{number}", "app")
@@ -233,6 +251,8 @@
 
     def _add_worker(self, identity: str, service: str, weights=None) -> None:
         worker = RecordingWorker(identity, service, self.history, weights)
+        worker.on_crash = self._restart_crashed
+        worker.crashing_parts = frozenset(self.crashing_parts)
         self.workers[identity] = worker
         self.store.put("servers", identity, worker.entry())
 
@@ -255,6 +275,9 @@
         self.history.attempts.append(attempt)
         try:
             fields = {"Request_Id": attempt.id, "Deadline_Ms": str(DEADLINE_MS)}
+            if kind == "classify" and self.crashing_parts and number % CRASHING_REQUEST_RATIO == 0:
+                part = self.crashing_parts[number % len(self.crashing_parts)]
+                fields["Prompt_Prefix"] = f"aa:50,{part}:20,{number:x}:30"
             data = gateway_support.Site.encode(self, attempt.target, **fields)
             channel.sock.sendall(data)
             reply = gateway_support.read_reply(channel)
@@ -391,6 +414,21 @@
         gevent.sleep(seconds)
         worker.proxy.bring_up()
 
+    def _add_crashing_part(self, process, worker, seconds) -> None:
+        """Let callers send, from now on, requests with a part on which endpoints crash."""
+        if len(self.crashing_parts) < MAX_CRASHING_PARTS:
+            self.crashing_parts.append(f"dead{len(self.crashing_parts)}")
+        for found in self.workers.values():
+            found.crashing_parts = frozenset(self.crashing_parts)
+        gevent.sleep(seconds)
+
+    def _restart_crashed(self, worker: RecordingWorker) -> None:
+        gevent.sleep(ENDPOINT_RESTART_SECONDS)
+        worker.started_at_ms += 1
+        if worker.identity in self.workers:
+            self.store.put("servers", worker.identity, worker.entry())
+        worker.proxy.bring_up()
+
     def _replace_worker(self, process, worker, seconds) -> None:
         """Start another endpoint, then drain an endpoint and remove it from the store."""
         if worker.identity not in self.workers:
@@ -493,6 +531,7 @@
     "forget": SoakRun._drop_store_history,
     "spoil": SoakRun._inject_worker_fault,
     "crash": SoakRun._crash_worker,
+    "poison": SoakRun._add_crashing_part,
     "replace": SoakRun._replace_worker,
     "configure": SoakRun._add_route,
     "weights": SoakRun._set_target_weights,
--- a/features/soak_checker.py
+++ b/features/soak_checker.py
@@ -37,6 +37,11 @@
 CLOSE_RACE_SECONDS = 0.2
 # Time for which the effects of a fault may last after its end.
 STABILISATION_SECONDS = 3.0
+# Crashes by one prompt part before routers must keep it from endpoints, and late ones after that.
+TOLERATED_CRASHES = 5
+TOLERATED_LATE_CRASHES = 3
+# Faults that affect endpoints or callers only, so that they excuse no router.
+ENDPOINT_FAULTS = frozenset({"spoil", "crash", "replace", "weights", "configure", "poison"})
 
 
 @dataclasses.dataclass
@@ -141,6 +146,7 @@
       orders: Load orders that the endpoints received.
       faults: Faults and planned operations.
       draining_since: Monotonic time in seconds at which an endpoint began to drain, by identity.
+      part_crashes: Request id and monotonic time of each crash on a prompt part, by part.
     """
 
     attempts: list[RequestAttempt] = dataclasses.field(default_factory=list)
@@ -148,9 +154,15 @@
     orders: list[LoadOrder] = dataclasses.field(default_factory=list)
     faults: list[Fault] = dataclasses.field(default_factory=list)
     draining_since: dict[str, float] = dataclasses.field(default_factory=dict)
+    part_crashes: dict[str, list[tuple[str, float]]] = dataclasses.field(default_factory=dict)
 
     def is_undisturbed(
-        self, router: str, started_at: float, ended_at: float, includes_planned=False
+        self,
+        router: str,
+        started_at: float,
+        ended_at: float,
+        includes_planned=False,
+        ignored: frozenset[str] = frozenset(),
     ) -> bool:
         """Return whether no fault could affect a router during an interval.
 
@@ -159,9 +171,10 @@
           started_at: Start of the interval, monotonic time in seconds.
           ended_at: End of the interval, monotonic time in seconds.
           includes_planned: Whether planned operations count as faults.
+          ignored: Names of faults that do not count.
         """
         for fault in self.faults:
-            if fault.is_planned and not includes_planned:
+            if fault.name in ignored or (fault.is_planned and not includes_planned):
                 continue
             is_overlapping = (
                 fault.started_at <= ended_at
@@ -185,7 +198,8 @@
         violations += _check_lost(attempt, executions.get(attempt.id, []), history)
     for execution in history.executions:
         violations += _check_execution(execution, attempts_by_id.get(execution.id), history)
-    return violations + _check_retry_budget(history) + _check_fencing(history)
+    violations += _check_retry_budget(history) + _check_part_crashes(history)
+    return violations + _check_fencing(history)
 
 
 def _check_response(attempt: RequestAttempt, executions: list[Execution]) -> list[str]:
@@ -295,6 +309,29 @@
     return []
 
 
+def _check_part_crashes(history: History) -> list[str]:
+    """Check that requests with a crashing part stop soon after it has crashed five endpoints."""
+    routers = {attempt.id: attempt.router for attempt in history.attempts}
+    violations = []
+    for part, crashes in history.part_crashes.items():
+        if len(crashes) <= TOLERATED_CRASHES:
+            continue
+        late_after = crashes[TOLERATED_CRASHES - 1][1] + STABILISATION_SECONDS
+        late = [
+            request_id
+            for request_id, at in crashes
+            if at > late_after
+            and history.is_undisturbed(
+                routers.get(request_id, ""), at - STABILISATION_SECONDS, at, True, ENDPOINT_FAULTS
+            )
+        ]
+        if len(late) > TOLERATED_LATE_CRASHES:
+            violations.append(
+                f"BUDGET part {part} crashed {len(crashes)} endpoints, {len(late)} of them late"
+            )
+    return violations
+
+
 def _check_fencing(history: History) -> list[str]:
     restored_times = [f.ended_at for f in history.faults if f.name in ("pause", "cut")]
     violations: list[str] = []
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -252,6 +252,14 @@
     context.history.executions += [execution_of(attempt, endpoint=f"app-{n}") for n in range(40)]
 
 
+@when("a prompt part crashes endpoints long after it has crashed five")
+def step_part_crashes(context):
+    attempt = context.history.attempts[0]
+    seconds = [0.1, 0.2, 0.3, 0.4, 0.5, 4.0, 4.1, 4.2, 4.3]
+    crashes = [(attempt.id, HISTORY_START + at) for at in seconds]
+    context.history.part_crashes["dead0"] = crashes
+
+
 @when("a load order has a lower fencing token than the one before")
 def step_lower_token(context):
     context.history.orders.append(soak_checker.LoadOrder("lm-1", "vm-0", 4, HISTORY_START + 1))
