Keep the port of a crashed endpoint in the soak

Cause: the port of an endpoint that is down was free, and a connection of another process took it as its own. Change: while it is down, a bound socket that does not listen keeps the port; connections are refused as before.

--- a/features/soak.py
+++ b/features/soak.py
@@ -427,7 +427,8 @@
         worker.started_at_ms += 1
         if worker.identity in self.workers:
             self.store.put("servers", worker.identity, worker.entry())
-        worker.proxy.bring_up()
+        if worker.proxy.is_down:
+            worker.proxy.bring_up()
 
     def _replace_worker(self, process, worker, seconds) -> None:
         """Start another endpoint, then drain an endpoint and remove it from the store."""
--- a/features/soak_proxy.py
+++ b/features/soak_proxy.py
@@ -57,6 +57,7 @@
         self.is_dropping_to_target = False
         self.is_dropping_to_client = False
         self.is_down = False
+        self.reservation: socket.socket | None = None
         self.connections: set[ProxiedConnection] = set()
         self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._accept)
         self.server.start()
@@ -117,12 +118,18 @@
         self.is_down = True
         self.server.stop_accepting()
         self.server.close()
+        # A bound socket that does not listen refuses connections, and keeps the port from others.
+        self.reservation = socket.socket()
+        self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        host, _, port = self.address.rpartition(":")
+        self.reservation.bind((host, int(port)))
         self.reset_connections()
 
     def bring_up(self) -> None:
         """Listen again at the same address."""
         host, _, port = self.address.rpartition(":")
         self.is_down = False
+        self.reservation.close()
         self.server = gevent.server.StreamServer((host, int(port)), self._accept)
         self.server.start()
 
