Tell operators how a quarantine ends

Cause: the page and the error named a release after an hour, and by operators, which do not exist. Change: the terms as they are; the error says to change the content or to wait for the repair.

--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -517,7 +517,7 @@
 def _quarantined_error(fingerprint: str) -> errors.QuarantinedError:
     return errors.QuarantinedError(
         f"requests that begin alike crashed endpoints (fingerprint {fingerprint})",
-        "change the content, or ask the operators to release the fingerprint",
+        "change the content, or send it again when the endpoints are repaired",
     )
 
 
