--- a/features/soak_proxy.py
+++ b/features/soak_proxy.py
@@ -1,5 +1,6 @@
 """TCP proxy on the loopback interface that injects network faults."""
 
+import errno
 import socket
 import struct
 
@@ -9,6 +10,8 @@
 
 READ_BYTES = 65536
 CONNECT_SECONDS = 1.0
+BIND_ATTEMPTS = 20
+BIND_PAUSE_SECONDS = 0.1
 
 
 class ProxiedConnection:
@@ -130,8 +133,16 @@
         host, _, port = self.address.rpartition(":")
         self.is_down = False
         self.reservation.close()
-        self.server = gevent.server.StreamServer((host, int(port)), self._accept)
-        self.server.start()
+        for attempt in range(BIND_ATTEMPTS):
+            self.server = gevent.server.StreamServer((host, int(port)), self._accept)
+            try:
+                self.server.start()
+                return
+            except OSError as error:
+                # A process that is just being started may still have a copy of the old socket.
+                if attempt == BIND_ATTEMPTS - 1 or error.errno != errno.EADDRINUSE:
+                    raise
+                gevent.sleep(BIND_PAUSE_SECONDS)
 
     def clear_faults(self) -> None:
         """End all faults except blackholed connections."""
