--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -123,6 +123,7 @@
             self._record_failure(job, choice, result)
             if isinstance(result, failures.PossiblyExecuted) and result.is_crash:
                 self.components.crashes.wait_until_checked(choice.state.endpoint.incarnation)
+            # An error response of the endpoint is delivered even when a verdict applies by then.
             if isinstance(result, failures.NotExecuted) or result.response is None:
                 admission.check_quarantine(self.components, job, self.clock.monotonic())
             choice = self._continue_from_backup(job, choice, result)
@@ -315,6 +316,10 @@
         A request that is suspected of crashing endpoints goes to an endpoint with no other suspect,
         so that a crash accuses only one. Different suspects prefer different endpoints; of these,
         the one with the fewest requests is used. Other requests avoid endpoints with suspects.
+
+        Returns:
+          Lists of `endpoints.EndpointState`; none when the request has to wait for the outcome of
+          another suspect.
         """
         suspects, now = self.components.quarantine, self.clock.monotonic()
         suspicion = suspects.suspicion(job.fingerprints, now)
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -22,7 +22,7 @@
 
 # A request with less time than this left is not sent to another endpoint.
 MIN_ATTEMPT_SECONDS = 0.01
-# Bounds what a prompt with very many parts adds to the evidence of a crash.
+# Limits what a prompt with very many parts adds to the evidence of a crash.
 MAX_PART_FINGERPRINTS = 64
 # Engines distinguish ten urgencies, from 0, the most urgent, to this one.
 MAX_URGENCY = 9
--- a/bronzemux/gateway/quarantine_gossip.py
+++ b/bronzemux/gateway/quarantine_gossip.py
@@ -8,9 +8,9 @@
 
 # Most verdicts in one message, the newest first.
 MAX_SENT_VERDICTS = 100
-# Most lost requests in the report of one crash, and of fingerprints in one message.
+# Most lost requests in the report of one crash.
 MAX_REPORTED_REQUESTS = 128
-# Longest age of a reported event, for the arithmetic of times from another router.
+# Longest age or term that is taken from another router or from the store.
 MAX_AGE_MS = 3_600_000
 
 
@@ -29,6 +29,7 @@
     Attributes:
       crash_updates: Crashes that have not been sent yet.
       cleared_updates: Cleared fingerprints that have not been sent yet.
+      has_new_verdict: Whether early messages contain the verdicts, until the next regular ones.
     """
 
     def __init__(
--- a/bronzemux/gateway/verdict_store.py
+++ b/bronzemux/gateway/verdict_store.py
@@ -29,6 +29,11 @@
       service: The gateway's table.
       following: Whether this gateway follows the store.
       clock: Source of time.
+
+    Attributes:
+      pending: Verdicts that have not been written yet.
+      is_loaded: Whether the stored verdicts have been read.
+      retry_at: Monotonic seconds before which the store is not used, after a failed call.
     """
 
     def __init__(
