Test streams while endpoints of several software versions serve

Callers get streams whose first part one software version of an endpoint wrote and whose rest another one did. The stand-in endpoints have a software version now, can restart under their identity with another one, can send garbage in the middle of a stream, and can mark each event with the version that made it.

--- a/bronzemux/platform/standin_worker.py
+++ b/bronzemux/platform/standin_worker.py
@@ -39,6 +39,7 @@
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
     CUT_STREAM = "cut-stream"
+    GARBLE_STREAM = "garble-stream"
     CRASH_STREAM = "crash-stream"
     FREEZE_STREAM = "freeze-stream"
     LOSE_COPIES = "lose-copies"
@@ -104,8 +105,11 @@
       identity: Identity under which it registers.
       service: Name of its service.
       weights: Version of the weights by model; empty for a service without models.
+      software: Version of its software.
 
     Attributes:
+      started_at_ms: Unix time of its start in milliseconds, as it registers it.
+      marks_software: Whether the data of each event of a stream ends with the software version.
       fault: Fault that it simulates.
       execution_seconds: Time until the response to a request begins.
       event_seconds: Time between the events of a stream.
@@ -129,10 +133,19 @@
       arrived_at: Monotonic seconds of each request received, without orders and report calls.
     """
 
-    def __init__(self, identity: str, service: str, weights: dict[str, int] | None = None):
+    def __init__(
+        self,
+        identity: str,
+        service: str,
+        weights: dict[str, int] | None = None,
+        software: str = "v1",
+    ):
         self.identity = identity
         self.service = service
         self.weights = dict(weights or {})
+        self.software = software
+        self.started_at_ms = 1_000
+        self.marks_software = False
         self.fault = Fault.NONE
         self.execution_seconds = 0.0
         self.event_seconds = 0.0
@@ -172,6 +185,16 @@
         for channel in list(self.channels):
             channel.sock.shutdown(socket.SHUT_RDWR)
 
+    def restart(self, software: str) -> None:
+        """Start again under the same identity with other software, without registering it.
+
+        Its responses in progress and its connections end.
+        """
+        for channel in list(self.channels):
+            channel.sock.shutdown(socket.SHUT_RDWR)
+        self.software = software
+        self.started_at_ms += 1_000
+
     @property
     def arrivals(self) -> int:
         """Return the number of requests received, without orders and report calls."""
@@ -193,14 +216,14 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": "ready",
             "cold_left_ms": 0,
             "stage": "colocated",
             "models": models,
             "sequence": 1,
-            "born": 1_000,
+            "born": self.started_at_ms,
         }
         return entry | changes
 
@@ -325,6 +348,7 @@
             ("Transfer-Encoding", "chunked"),
         ]
         channel.send(self._encode_head(200, fields))
+        software = self.software
         parts = {
             part.partition(":")[0] for part in request.fields.get("prompt-prefix", "").split(",")
         }
@@ -338,11 +362,15 @@
             gevent.sleep(self.event_seconds / 2)
             if number == first + 2:
                 self._pause(channel)
-            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            mark = f" {software}" if self.marks_software else ""
+            event = f"id: {number}\ndata: token-{number}{mark}\n\n".encode()
             if self.fault is Fault.CUT_STREAM and number == first + 2:
                 channel.send(http1.encode_chunk(event[:7]))
                 gevent.sleep(0.02)
                 return _reset(channel)
+            if self.fault is Fault.GARBLE_STREAM and number == first + 2:
+                channel.send(b"not a chunk\r\n")
+                return False
             if self.fault is Fault.CRASH_STREAM and number == first + 2:
                 self.stop()
                 return _reset(channel)
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -111,9 +111,11 @@
         self.gateways: list[gateway.Gateway] = []
         self.numbers = itertools.count(1)
 
-    def add_worker(self, identity: str, service: str, weights=None) -> standin_worker.StandInWorker:
+    def add_worker(
+        self, identity: str, service: str, weights=None, software: str = "v1"
+    ) -> standin_worker.StandInWorker:
         """Start a stand-in endpoint and register it in the store."""
-        worker = standin_worker.StandInWorker(identity, service, weights)
+        worker = standin_worker.StandInWorker(identity, service, weights, software)
         worker.start()
         self.workers[identity] = worker
         self.store.put("servers", identity, worker.entry())
@@ -145,14 +147,19 @@
           is_ready_expected: Whether to wait until it accepts callers.
           **changes: Settings that differ from the default.
         """
-        config = self.settings(**changes)
-        started = gateway.Gateway(config, assembly.build_platform(config), clock.BootClock())
+        started = start_gateway(self.settings(**changes))
         self.gateways.append(started)
-        started.start()
         if is_ready_expected:
             wait_for(started.is_ready)
         return started
 
+    def restart_gateway(self, index: int) -> gateway.Gateway:
+        """Start a gateway that was stopped, with the same settings and nothing in memory."""
+        started = start_gateway(self.gateways[index].settings)
+        self.gateways[index] = started
+        wait_for(started.is_ready)
+        return started
+
     def stop(self) -> None:
         """Stop the gateways, the endpoints and the store."""
         for started in self.gateways:
@@ -209,6 +216,13 @@
         return http1.encode_head(f"{method} {path} HTTP/1.1", lines) + body
 
 
+def start_gateway(config: settings.GatewaySettings) -> gateway.Gateway:
+    """Start a gateway with some settings."""
+    started = gateway.Gateway(config, assembly.build_platform(config), clock.BootClock())
+    started.start()
+    return started
+
+
 def stop_gateway(started: gateway.Gateway) -> None:
     """Stop a gateway at once."""
     started.ingress.server.stop(timeout=0)
