Tell the software version of endpoints in the gateway's logs

The entry of an endpoint names the version of its software, which the gateway dropped, so no log line could tell in which streams two versions met. The events `endpoint` and `request` name it now, `trail` names it for each failed attempt, and `resumes` the attempt that a returning caller names. No logic changes.

--- a/bronzemux/gateway/cluster_state.py
+++ b/bronzemux/gateway/cluster_state.py
@@ -348,6 +348,8 @@
                 id=endpoint.id,
                 service=endpoint.service,
                 address=endpoint.address,
+                software=endpoint.software,
+                born=endpoint.started_at_ms,
                 draining=endpoint.is_draining,
                 weights=dict(endpoint.weights),
                 row=store_version.text(row.version),
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -149,7 +149,8 @@
             job.executions += 1
         job.is_attempt_in_flight = False
         job.tried.add(state.endpoint.incarnation)
-        job.failed_attempts.append(f"{state.endpoint.id}:{result.cause}")
+        software = state.endpoint.software
+        job.failed_attempts.append(f"{state.endpoint.id}@{software}:{result.cause}")
         self.components.meters.attempt_failures.labels(job.service, result.cause).inc()
         if isinstance(result, failures.NotExecuted):
             job.rejections += 1
@@ -481,6 +482,8 @@
             config=job.config_version,
             service=service,
             endpoint=choice.state.endpoint.id if choice else "none",
+            software=choice.state.endpoint.software if choice else "",
+            resumes=job.request.resumes or "",
             weights=choice.weights if choice else None,
             considered=choice.candidate_count if choice else 0,
             expected=choice.expected_seconds if choice else 0.0,
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -190,6 +190,7 @@
       address: IP address and port.
       data_centre: Data centre of the endpoint.
       slots: Requests that it executes concurrently.
+      software: Version of its software, which has no order; not that of its weights.
       is_draining: Whether it accepts no new requests.
       weights: Version of the weights by model.
       started_at_ms: Unix time of its start in milliseconds; distinguishes a restarted endpoint from
@@ -202,6 +203,7 @@
     address: str
     data_centre: str
     slots: int
+    software: str = ""
     is_draining: bool = False
     weights: Mapping[str, int] = dataclasses.field(default_factory=dict)
     started_at_ms: int = 0
@@ -271,6 +273,8 @@
       deadline_seconds: How long the caller waits, None when it sets no deadline.
       prompt: Description of the prompt, None for requests without a model.
       last_event_id: Event after which a stream is to resume, None to start at the beginning.
+      resumes: Identity of the caller's attempt that brought the first event of that stream, None
+        when the caller does not name it.
     """
 
     id: str
@@ -283,6 +287,7 @@
     deadline_seconds: float | None = None
     prompt: Prompt | None = None
     last_event_id: int | None = None
+    resumes: str | None = None
 
 
 @records.record
--- a/bronzemux/platform/documents.py
+++ b/bronzemux/platform/documents.py
@@ -179,8 +179,8 @@
 def decode_endpoint(key: str, data: bytes) -> model.Endpoint:
     """Decode the entry of an endpoint.
 
-    The field `version` is the version of the endpoint's software, which the gateway does not use;
-    the versions of its weights are under `models`. The field `sequence` counts heartbeats here, but
+    The field `version` is the version of the endpoint's software; the versions of its weights are
+    under `models`. The field `sequence` counts heartbeats here, but
     orders in a report.
 
     Args:
@@ -197,7 +197,6 @@
             f"state {reprlib.repr(state)} is unknown", "use ready or draining"
         )
     # Required by the format, but not used by the gateway.
-    fields.identifier(document, "version")
     fields.number(document, "cold_left_ms")
     weights = {}
     for item in fields.items(document, "models", []):
@@ -212,6 +211,7 @@
         address=fields.unicast_address(document, "address"),
         data_centre=fields.identifier(document, "zone"),
         slots=slots,
+        software=fields.identifier(document, "version"),
         is_draining=state == "draining",
         weights=weights,
         started_at_ms=fields.integer(document, "born", 0),
--- a/bronzemux/platform/headers.py
+++ b/bronzemux/platform/headers.py
@@ -11,6 +11,7 @@
 AUTHORIZATION = "authorization"
 BEARER = "Bearer "
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"
 MODEL = "model"
 TOKEN_COUNTS = "token-counts"
 PROMPT_PREFIX = "prompt-prefix"
@@ -51,6 +52,7 @@
     AUTHORIZATION,
     DEADLINE,
     LAST_EVENT_ID,
+    RESUMES,
     MODEL,
     TOKEN_COUNTS,
     PROMPT_PREFIX,
@@ -85,6 +87,7 @@
             deadline_seconds=_deadline_seconds(head),
             prompt=_prompt(head),
             last_event_id=_number(head, LAST_EVENT_ID),
+            resumes=head.get(RESUMES),
         )
 
     def encode_request(self, request: model.Request, directives: model.Directives) -> bytes:
