Serve the requests on open connections before a stopped gateway exits

A planned stop waited only for requests that had been decoded. A request whose bytes were unread, or whose body was still arriving, when the listening socket closed did not count: with nothing else in flight the process exited in the same iteration of the event loop, and the caller saw its connection closed.

The stop now waits for the open connections, all of which are closed after one more response by then; the end of the grace still bounds it.

Before the change, on: A request unread on a kept connection as the listening socket closes: FAILED, Reply(status=0, head=None, body=b'', is_whole=False) A request whose body is half read as the listening socket closes: FAILED, same With it both pass.

--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -418,7 +418,9 @@
         ):
             self.clock.sleep(SHUTDOWN_POLL_SECONDS)
         self.ingress.stop_accepting()
-        while self.ingress.in_flight and self.clock.monotonic() < requests_end_at:
+        # Lets the greenlets of connections with an unread request run.
+        self.clock.sleep(SHUTDOWN_POLL_SECONDS)
+        while self.ingress.open_channels and self.clock.monotonic() < requests_end_at:
             self.clock.sleep(SHUTDOWN_POLL_SECONDS)
         interrupted = self.ingress.in_flight
         self.ingress.interrupt_requests()
--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -60,3 +60,14 @@
     And the endpoints take 0.1 seconds for a request
     When "POST /filing/1" with 0.8 seconds to its deadline arrives every 0.2 seconds of its stop
     Then all that arrived within 1.2 seconds after the stop began got 200
+
+  # Guards against requests that the close of the listening socket, or the exit, cuts off unanswered.
+  Scenario Outline: A request <moment>
+    Given a gateway with a grace of 3 seconds
+    When the stop meets a request <moment>
+    Then the request got a complete answer before the process exited
+
+    Examples:
+      | moment                                                             |
+      | unread on a kept connection as the listening socket closes         |
+      | whose body is half read as the listening socket closes             |
--- a/features/steps/gateway_shutdown_steps.py
+++ b/features/steps/gateway_shutdown_steps.py
@@ -1,12 +1,13 @@
 """Steps for requests during the planned stop of a gateway."""
 
 import dataclasses
+import socket
 import time
 
 import gevent
 from behave import given, then, when
 
-from bronzemux.gateway import settings
+from bronzemux.gateway import http1, settings
 from features import gateway_support
 
 INTERVAL_SECONDS = 0.2
@@ -148,3 +149,68 @@
 def step_served(context, seconds, status):
     early = [a for a in context.arrivals if a.at < seconds]
     assert early and all(a.reply.status == status and a.reply.is_whole for a in early), early
+
+
+def connect_idle(context) -> socket.socket:
+    """Return a connection that has carried a request and waits for the next one."""
+    site = context.site
+    sock = site.connect()
+    context.cleanups.append(sock.close)
+    sock.sendall(site.encode("/status/1", Request_Id="first"))
+    assert gateway_support.read_reply(http1.Channel(sock)).status == 200
+    gateway_support.wait_for(lambda: site.gateways[0].ingress.idle_channels)
+    return sock
+
+
+def exit_process(served) -> None:
+    """Close the connections of a gateway in the way in which the exit of its process does."""
+    for channel in list(served.ingress.open_channels):
+        channel.sock.close()
+
+
+def run_stop(context, on_close=lambda: None) -> None:
+    """Stop the gateway and end its process.
+
+    Args:
+      context: Context of the scenario.
+      on_close: Called just before the listening socket is closed.
+    """
+    served = context.site.gateways[0]
+    stop_accepting = served.ingress.stop_accepting
+
+    def close_listener() -> None:
+        on_close()
+        stop_accepting()
+
+    served.ingress.stop_accepting = close_listener
+    served.stop()
+    exit_process(served)
+
+
+@when("the stop meets a request unread on a kept connection as the listening socket closes")
+def step_stop_unread(context):
+    sock = connect_idle(context)
+    run_stop(context, lambda: sock.sendall(context.site.encode("/filing/1")))
+    context.replies = [gateway_support.read_reply(http1.Channel(sock))]
+
+
+@when("the stop meets a request whose body is half read as the listening socket closes")
+def step_stop_half_read(context):
+    sock = connect_idle(context)
+    data = context.site.encode("/filing/1", body=b"0123456789")
+
+    def send_halves() -> None:
+        sock.sendall(data[:-5])
+        gevent.sleep(0.1)
+        gevent.spawn_later(0.2, sock.sendall, data[-5:])
+
+    run_stop(context, send_halves)
+    context.replies = [gateway_support.read_reply(http1.Channel(sock))]
+
+
+@then("the request got a complete answer before the process exited")
+def step_answered_at_close(context):
+    assert context.replies
+    for reply in context.replies:
+        assert reply.status in (200, 503) and reply.is_whole, reply
+        assert reply.head.get("connection") == "close", reply
