Answer the requests in the backlog when a gateway closes its listening socket

The close of a listening socket resets the connections that are queued at it, whose callers may have sent whole requests. A planned stop closed it without accepting them.

A stop now accepts what is queued, and then closes the socket. Each such request is served or gets 503 with Retry-After and Connection: close. Once the listening socket is closed, a connection waits 0.25 s for a request rather than the idle timeout, so that a silent one does not hold the stop. A connection that arrives in the microseconds between the last accept and the close is still reset, unread.

--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -418,7 +418,7 @@
         ):
             self.clock.sleep(SHUTDOWN_POLL_SECONDS)
         self.ingress.stop_accepting()
-        # Lets the greenlets of connections with an unread request run.
+        # Lets the greenlets of the connections that were accepted last start.
         self.clock.sleep(SHUTDOWN_POLL_SECONDS)
         while self.ingress.open_channels and self.clock.monotonic() < requests_end_at:
             self.clock.sleep(SHUTDOWN_POLL_SECONDS)
--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -8,7 +8,7 @@
 import gevent.server
 
 from bronzemux import clock as clocks
-from bronzemux import errors, http_client, interruption, logs
+from bronzemux import errors, http_client, http_server, interruption, logs
 from bronzemux.gateway import admission, failures, forwarder, http1, model
 from bronzemux.gateway import job as jobs
 
@@ -18,6 +18,8 @@
 BODY_IDLE_TIMEOUTS = 2.0
 # A caller that reads nothing for this long is disconnected; callers abandon a stream sooner.
 WRITE_TIMEOUT_SECONDS = 5.0
+# Wait for a request on a connection once the listening socket is closed: a few round trips.
+LAST_REQUEST_SECONDS = 0.25
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Value of libev's EV_READ.
 LIBEV_READ = 1
@@ -130,6 +132,7 @@
 
     Attributes:
       is_stopping: Whether connections are closed after their current response.
+      is_accepting: Whether new connections are accepted.
       in_flight: Number of requests in flight.
       last_request_at: Monotonic seconds at which a request last arrived.
       open_channels: All connections of callers.
@@ -150,6 +153,7 @@
         self.clock = clock
         self.repeat_filter = logs.RepeatFilter(clock)
         self.is_stopping = False
+        self.is_accepting = True
         self.in_flight = 0
         self.last_request_at = clock.monotonic()
         self.open_channels: set[http1.Channel] = set()
@@ -165,8 +169,9 @@
         self.server.start()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and all idle connections."""
-        self.server.stop_accepting()
+        """Accept the connections that are queued, then close the listening socket and idle ones."""
+        self.is_accepting = False
+        http_server.accept_queued(self.server, LISTEN_BACKLOG)
         self.server.close()
         for channel in list(self.idle_channels):
             close_idle(channel.sock)
@@ -247,16 +252,20 @@
         self.idle_channels.add(channel)
         try:
             while True:
-                seconds = self._limits().idle_timeout_seconds
+                seconds = self._idle_seconds()
                 channel.sock.settimeout(max(0.0, idle_since + seconds - self.clock.monotonic()))
                 try:
                     return channel.fill()
                 except TimeoutError:
-                    if self._limits().idle_timeout_seconds <= seconds:
+                    if self._idle_seconds() <= seconds:
                         return False
         finally:
             self.idle_channels.discard(channel)
 
+    def _idle_seconds(self) -> float:
+        seconds = self._limits().idle_timeout_seconds
+        return seconds if self.is_accepting else min(seconds, LAST_REQUEST_SECONDS)
+
     def _read_request(self, channel: http1.Channel, limits: model.CallerLimits):
         channel.sock.settimeout(limits.head_timeout_seconds)
         with self._limit_reading(channel, limits.head_timeout_seconds):
--- a/bronzemux/http_server.py
+++ b/bronzemux/http_server.py
@@ -3,6 +3,7 @@
 import socket
 
 import gevent
+import gevent.server
 from gevent import pywsgi
 
 from bronzemux import http_client, logs, records
@@ -133,6 +134,26 @@
         self.stop(timeout=0)
 
 
+def accept_queued(server: gevent.server.StreamServer, limit: int) -> None:
+    """Accept the connections that are queued at a listening socket, whose close would reset them.
+
+    The server then accepts no more connections.
+
+    Args:
+      server: The server.
+      limit: Most connections to accept.
+    """
+    server.stop_accepting()
+    try:
+        for _ in range(limit):
+            accepted = server.do_read()
+            if accepted is None:
+                return
+            server.do_handle(*accepted)
+    except OSError as error:
+        logs.event("accept_failed", "warning", cause=str(error))
+
+
 def shutdown_socket(sock: socket.socket) -> None:
     """Shut down a connection in both directions, so that its peer stops waiting."""
     try:
--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -69,5 +69,6 @@
 
     Examples:
       | moment                                                             |
+      | in the backlog of the listening socket as that closes              |
       | unread on a kept connection as the listening socket closes         |
       | whose body is half read as the listening socket closes             |
--- a/features/steps/gateway_shutdown_steps.py
+++ b/features/steps/gateway_shutdown_steps.py
@@ -5,6 +5,7 @@
 import time
 
 import gevent
+import gevent.monkey
 from behave import given, then, when
 
 from bronzemux.gateway import http1, settings
@@ -151,6 +152,16 @@
     assert early and all(a.reply.status == status and a.reply.is_whole for a in early), early
 
 
+def connect_at_once(site: gateway_support.Site) -> socket.socket:
+    """Return a connection to a gateway, which the gateway cannot have accepted yet."""
+    host, _, port = site.gateways[0].settings.ingress_address.rpartition(":")
+    blocking = gevent.monkey.get_original("socket", "socket")()
+    blocking.connect((host, int(port)))
+    sock = socket.socket(fileno=blocking.detach())
+    sock.settimeout(gateway_support.TIMEOUT_SECONDS)
+    return sock
+
+
 def connect_idle(context) -> socket.socket:
     """Return a connection that has carried a request and waits for the next one."""
     site = context.site
@@ -187,6 +198,19 @@
     exit_process(served)
 
 
+@when("the stop meets a request in the backlog of the listening socket as that closes")
+def step_stop_backlog(context):
+    socks = []
+
+    def fill_backlog() -> None:
+        for _ in range(3):
+            socks.append(connect_at_once(context.site))
+            socks[-1].sendall(context.site.encode("/filing/1"))
+
+    run_stop(context, fill_backlog)
+    context.replies = [gateway_support.read_reply(http1.Channel(sock)) for sock in socks]
+
+
 @when("the stop meets a request unread on a kept connection as the listening socket closes")
 def step_stop_unread(context):
     sock = connect_idle(context)
