Keep a connection open after a response that did not announce its close

A stream whose head was sent before a planned stop began promised its caller a connection that stays open, but the gateway closed it at the stream's end. A caller that sent its next request at once had it reset, with nothing to tell whether it ran.

A connection is now closed only after a response with Connection: close; the next request on it gets one, or the stop closes it when it is idle.

--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -131,7 +131,7 @@
     """HTTP server that accepts the requests of callers.
 
     Attributes:
-      is_stopping: Whether connections are closed after their current response.
+      is_stopping: Whether responses announce that their connection is closed after them.
       is_accepting: Whether new connections are accepted.
       in_flight: Number of requests in flight.
       last_request_at: Monotonic seconds at which a request last arrived.
@@ -316,7 +316,8 @@
         finally:
             self.scopes.discard(scope)
             self.in_flight -= 1
-        return not caller.is_closing and not self.is_stopping
+        # Without the announcement, the caller may already have sent its next request.
+        return not caller.is_closing
 
     def _forward(self, request: model.Request, caller: CallerConnection, arrived_at: float) -> None:
         job = None
--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -72,3 +72,4 @@
       | in the backlog of the listening socket as that closes              |
       | unread on a kept connection as the listening socket closes         |
       | whose body is half read as the listening socket closes             |
+      | on the connection of a stream that began before the stop           |
--- a/features/steps/gateway_shutdown_steps.py
+++ b/features/steps/gateway_shutdown_steps.py
@@ -232,6 +232,25 @@
     context.replies = [gateway_support.read_reply(http1.Channel(sock))]
 
 
+@when("the stop meets a request on the connection of a stream that began before the stop")
+def step_stop_after_stream(context):
+    for worker in context.site.workers.values():
+        worker.event_seconds = 0.1
+    sock = context.site.connect()
+    context.cleanups.append(sock.close)
+    channel = http1.Channel(sock)
+    sock.sendall(context.site.encode("/draft/1"))
+    channel.fill()
+    stopping = gevent.spawn(run_stop, context)
+    assert gateway_support.read_reply(channel).is_whole
+    context.replies = []
+    try:
+        sock.sendall(context.site.encode("/filing/1"))
+        context.replies.append(gateway_support.read_reply(channel))
+    finally:
+        stopping.get(timeout=5.0)
+
+
 @then("the request got a complete answer before the process exited")
 def step_answered_at_close(context):
     assert context.replies
