Test that a request which crosses the close of its connection is not passed on

A request that arrives between the last look at an idle connection and its close cannot be answered. What counts is that it is not passed on.

--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -73,3 +73,14 @@
       | unread on a kept connection as the listening socket closes         |
       | whose body is half read as the listening socket closes             |
       | on the connection of a stream that began before the stop           |
+
+  # Guards against a request that is passed on although its connection is closed for the answer.
+  Scenario Outline: A request that crosses the close of its idle connection is not passed on
+    Given a gateway with a grace of 3 seconds
+    When a request arrives between the last look at its idle connection and its close <when>
+    Then no endpoint got it, and its connection ended without an answer
+
+    Examples:
+      | when                      |
+      | in a stop                 |
+      | after the idle timeout    |
--- a/features/steps/gateway_shutdown_steps.py
+++ b/features/steps/gateway_shutdown_steps.py
@@ -8,6 +8,7 @@
 import gevent.monkey
 from behave import given, then, when
 
+from bronzemux import http_client
 from bronzemux.gateway import http1, settings
 from features import gateway_support
 
@@ -257,3 +258,69 @@
     for reply in context.replies:
         assert reply.status in (200, 503) and reply.is_whole, reply
         assert reply.head.get("connection") == "close", reply
+
+
+def crossing_request(site: gateway_support.Site) -> bytes:
+    """Return a request that the gateway would pass on at once, on a pooled connection."""
+    return site.encode("/status/2", Request_Id="crossing", Deadline_Ms="600")
+
+
+def send_after_look(context, sock: socket.socket) -> None:
+    """Send a request after the next look at an idle connection, before anything else happens."""
+    look = http_client.is_open_and_idle
+
+    def look_and_send(looked_at: socket.socket) -> bool:
+        is_idle = look(looked_at)
+        if is_idle and looked_at.getpeername() == sock.getsockname():
+            http_client.is_open_and_idle = look
+            sock.sendall(crossing_request(context.site))
+        return is_idle
+
+    http_client.is_open_and_idle = look_and_send
+    context.cleanups.append(lambda: setattr(http_client, "is_open_and_idle", look))
+
+
+@when("a request arrives between the last look at its idle connection and its close in a stop")
+def step_cross_stop(context):
+    context.sock = connect_idle(context)
+    send_after_look(context, context.sock)
+    step_execution_seconds(context, 0.4)
+    running = []
+
+    def send_another() -> None:
+        running.append(gevent.spawn(context.site.send, "/filing/2", Deadline_Ms="600"))
+        gevent.sleep(0.1)
+
+    run_stop(context, send_another)
+    assert running[0].get(timeout=1.0).status == 200
+
+
+@when(
+    "a request arrives between the last look at its idle connection and its close "
+    "after the idle timeout"
+)
+def step_cross_timeout(context):
+    limits = gateway_support.configuration()["limits"] | {"idle_timeout_ms": 300}
+    context.site.store.put("op", "config", gateway_support.configuration(3, limits=limits))
+    state = context.site.gateways[0].cluster_state
+    gateway_support.wait_for(lambda: state.configuration.version == 3)
+    context.sock = connect_idle(context)
+    (channel,) = context.site.gateways[0].ingress.idle_channels
+    receive_late = channel._receive_late
+
+    def receive_and_send() -> bytes:
+        try:
+            return receive_late()
+        except TimeoutError:
+            context.sock.sendall(crossing_request(context.site))
+            raise
+
+    channel._receive_late = receive_and_send
+    gevent.sleep(0.5)
+
+
+@then("no endpoint got it, and its connection ended without an answer")
+def step_not_passed_on(context):
+    assert gateway_support.read_reply(http1.Channel(context.sock)).status == 0
+    gevent.sleep(0.3)
+    assert "crossing" not in executed(context)
