Read headers that arrived during a pause, although their timer has expired

A router of the product interface that stood still past the header timeout (10 s) between the parts of a request's head answered a proper request with 400 and closed the connection: the timer was taken as proof that nothing had arrived. 400 says that the request is wrong, so the caller does not send it again.

Reads now go through a stream that ends with a timeout only when the socket holds no bytes. It also replaces the peek that did this for the idle timeout. Up to 1 MiB is read late, so that a caller cannot hold a connection by sending without pause.

--- a/bronzemux/http_server.py
+++ b/bronzemux/http_server.py
@@ -1,16 +1,22 @@
 """WSGI server based on gevent.pywsgi, with TCP_NODELAY, read and write timeouts, and abort."""
 
+import contextlib
+import io
 import socket
+import time
+from collections.abc import Iterator
 
 import gevent
 import gevent.server
 from gevent import pywsgi
 
-from bronzemux import http_client, logs, records
+from bronzemux import logs, records
 
 IDLE_TIMEOUT_SECONDS = 75.0
 HEADER_TIMEOUT_SECONDS = 10.0
 WRITE_TIMEOUT_SECONDS = 30.0
+# Most bytes that are read after the time for them has passed: what arrived during a pause.
+MAX_LATE_BYTES = 1024 * 1024
 REASON_PHRASES = {
     200: "OK",
     202: "Accepted",
@@ -49,43 +55,96 @@
 DEFAULT_TIMEOUTS = ConnectionTimeouts()
 
 
+class SocketReader(io.RawIOBase):
+    """Stream of the bytes that arrive at a socket, which a timeout ends only when none are there.
+
+    After a pause of the process, a timeout may have expired although bytes arrived meanwhile.
+
+    Args:
+      sock: Connected socket.
+    """
+
+    def __init__(self, sock: socket.socket):
+        super().__init__()
+        self.sock = sock
+        self.ends_at: float | None = None
+        self.late_bytes = 0
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    @contextlib.contextmanager
+    def limit(self, seconds: float) -> Iterator[None]:
+        """Limit the time of all reads in the context, besides the timeout of the socket."""
+        self.ends_at = time.monotonic() + seconds
+        self.late_bytes = 0
+        try:
+            yield
+        finally:
+            self.ends_at = None
+
+    def readinto(self, buffer) -> int | None:
+        """Receive bytes; return their number, 0 at the end of the stream.
+
+        Returns None when no bytes are there and the timeout of the socket is 0.
+
+        Raises:
+          TimeoutError: When no bytes arrive in time.
+        """
+        timeout = self.sock.gettimeout()
+        if timeout == 0:
+            return self._receive_at_once(buffer)
+        seconds = timeout
+        if self.ends_at is not None:
+            left = max(0.0, self.ends_at - time.monotonic())
+            seconds = left if timeout is None else min(timeout, left)
+        try:
+            if seconds != 0:
+                self.sock.settimeout(seconds)
+                with contextlib.suppress(TimeoutError):
+                    count = self.sock.recv_into(buffer)
+                    self.late_bytes = 0
+                    return count
+            self.sock.settimeout(0.0)
+            count = self._receive_at_once(buffer) if self.late_bytes < MAX_LATE_BYTES else None
+        finally:
+            self.sock.settimeout(timeout)
+        if count is None:
+            raise TimeoutError("timed out")
+        self.late_bytes += count
+        return count
+
+    def _receive_at_once(self, buffer) -> int | None:
+        try:
+            return self.sock.recv_into(buffer)
+        except BlockingIOError:
+            return None
+
+
 class Handler(pywsgi.WSGIHandler):
     """Handler of one connection that enforces the timeouts of its server."""
 
+    def __init__(self, sock, address, server):
+        self.reader = SocketReader(sock)
+        super().__init__(sock, address, server, io.BufferedReader(self.reader))
+
     def read_requestline(self):
         """Return the request line; an empty one after the idle timeout closes the connection."""
+        self.socket.settimeout(self.server.timeouts.idle)
         try:
-            if not self._await_request():
-                return ""
-            self.socket.settimeout(self.server.timeouts.idle)
             return super().read_requestline()
         except TimeoutError:
             return ""
 
-    def _await_request(self) -> bool:
-        """Wait for a request; return False when the connection stayed idle."""
-        self.socket.settimeout(0.0)
-        if self.rfile.peek(1):
-            return True
-        self.socket.settimeout(self.server.timeouts.idle)
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except TimeoutError:
-            # A request may have arrived after the timeout expired, during a pause of the process.
-            return not http_client.is_open_and_idle(self.socket)
-        return True
-
     def read_request(self, raw_requestline):
         """Read the headers; returning False after a timeout closes the connection."""
         self.socket.settimeout(self.server.timeouts.write)
-        timeout = gevent.Timeout(self.server.timeouts.header)
-        timeout.start()
         try:
-            return super().read_request(raw_requestline)
-        except (gevent.Timeout, TimeoutError):
+            with self.reader.limit(self.server.timeouts.header):
+                return super().read_request(raw_requestline)
+        except TimeoutError:
             return False
-        finally:
-            timeout.close()
 
     def handle_error(self, kind, error, traceback):
         """Log one line, without a traceback, for a client that stopped reading, and disconnect it.
--- a/features/steps/web_steps.py
+++ b/features/steps/web_steps.py
@@ -126,6 +126,21 @@
     context.reply = receive(connection, "GET")
 
 
+@when("the last {part} of a request arrives during a pause of 1 second")
+def step_pause_in_headers(context, part):
+    connection = callers_steps.open_connection(context)
+    raw = encoded_request(context, "GET", "/v1/models")
+    cut = {
+        "half of the request line": 6,
+        "half of the headers": len(raw) // 2,
+        "line end of the headers": len(raw) - 2,
+    }[part]
+    connection.socket.sendall(raw[:cut])
+    gevent.sleep(0.05)
+    http_framing_steps.send_during_pause(connection.socket, raw[cut:], 1.0)
+    context.reply = receive(connection, "GET")
+
+
 @when("a caller sends three requests to router 1 at once")
 def step_pipeline(context):
     context.connection = callers_steps.open_connection(context)
--- a/features/web.feature
+++ b/features/web.feature
@@ -38,6 +38,18 @@
     When a request on a kept connection arrives during a pause of 1 second
     Then the status is 200
 
+  # Guards against a request that is cut off because the time for its headers passed during a pause.
+  Scenario Outline: A request whose last part arrived during a pause is served
+    Given routers wait 0.3 seconds for headers
+    When the last <part> of a request arrives during a pause of 1 second
+    Then the status is 200
+
+    Examples:
+      | part                         |
+      | half of the request line     |
+      | half of the headers          |
+      | line end of the headers      |
+
   Scenario: Requests that are sent at once are answered one after the other
     Given routers wait 0.3 seconds for a request
     When a caller sends three requests to router 1 at once
