Answer the last requests of a stopping router of the product interface

The stop closed the listening socket with requests queued at it, and ended the process without a look at its connections: requests in the backlog were reset, those unread or half read on kept connections were cut, one of them after the router had read it and written its refusal to a closed socket.

The server now accepts what is queued, closes the connections that are idle, and waits up to a second for the others; their requests get 503, as all do during the stop. The gateway's ingress uses the same close of idle connections.

--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -8,7 +8,7 @@
 import gevent.server
 
 from bronzemux import clock as clocks
-from bronzemux import errors, http_client, http_server, interruption, logs
+from bronzemux import errors, http_server, interruption, logs
 from bronzemux.gateway import admission, failures, forwarder, http1, model
 from bronzemux.gateway import job as jobs
 
@@ -18,8 +18,6 @@
 BODY_IDLE_TIMEOUTS = 2.0
 # A caller that reads nothing for this long is disconnected; callers abandon a stream sooner.
 WRITE_TIMEOUT_SECONDS = 5.0
-# Wait for a request on a connection once the listening socket is closed: a few round trips.
-LAST_REQUEST_SECONDS = 0.25
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Value of libev's EV_READ.
 LIBEV_READ = 1
@@ -174,7 +172,7 @@
         http_server.accept_queued(self.server, LISTEN_BACKLOG)
         self.server.close()
         for channel in list(self.idle_channels):
-            close_idle(channel.sock)
+            http_server.close_idle(channel.sock)
 
     def interrupt_requests(self) -> None:
         """End all requests in flight, as the process is about to exit.
@@ -264,7 +262,7 @@
 
     def _idle_seconds(self) -> float:
         seconds = self._limits().idle_timeout_seconds
-        return seconds if self.is_accepting else min(seconds, LAST_REQUEST_SECONDS)
+        return seconds if self.is_accepting else min(seconds, http_server.LAST_REQUEST_SECONDS)
 
     def _read_request(self, channel: http1.Channel, limits: model.CallerLimits):
         channel.sock.settimeout(limits.head_timeout_seconds)
@@ -396,13 +394,3 @@
         retry_after = None if may_have_run else admission.RETRY_AFTER_SECONDS
         self.forwarder.components.meters.refusals.labels(str(status)).inc()
         caller.refuse(request_id, status, "the router failed to process the request", retry_after)
-
-
-def close_idle(sock) -> None:
-    """Shut down a caller's idle connection, unless it has unread bytes of a new request."""
-    if not http_client.is_open_and_idle(sock):
-        return
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        return
--- a/bronzemux/http_server.py
+++ b/bronzemux/http_server.py
@@ -10,11 +10,14 @@
 import gevent.server
 from gevent import pywsgi
 
-from bronzemux import logs, records
+from bronzemux import http_client, logs, records
 
 IDLE_TIMEOUT_SECONDS = 75.0
 HEADER_TIMEOUT_SECONDS = 10.0
 WRITE_TIMEOUT_SECONDS = 30.0
+# Wait for a request on a connection once the listening socket is closed: a few round trips.
+LAST_REQUEST_SECONDS = 0.25
+DRAIN_POLL_SECONDS = 0.02
 # Most bytes that are read after the time for them has passed: what arrived during a pause.
 MAX_LATE_BYTES = 1024 * 1024
 REASON_PHRASES = {
@@ -131,11 +134,17 @@
 
     def read_requestline(self):
         """Return the request line; an empty one after the idle timeout closes the connection."""
-        self.socket.settimeout(self.server.timeouts.idle)
+        self.socket.settimeout(self.server.idle_seconds())
+        self.server.idle_sockets.add(self.socket)
         try:
+            if not self.rfile.peek(1):
+                return ""
+            self.server.idle_sockets.discard(self.socket)
             return super().read_requestline()
         except TimeoutError:
             return ""
+        finally:
+            self.server.idle_sockets.discard(self.socket)
 
     def read_request(self, raw_requestline):
         """Read the headers; returning False after a timeout closes the connection."""
@@ -168,6 +177,11 @@
       listener: Host and port.
       application: WSGI application.
       timeouts: Timeouts of the connections.
+
+    Attributes:
+      is_accepting: Whether new connections are accepted.
+      open_sockets: All connections.
+      idle_sockets: Connections that wait for a request.
     """
 
     handler_class = Handler
@@ -175,7 +189,14 @@
     def __init__(self, listener, application, timeouts: ConnectionTimeouts = DEFAULT_TIMEOUTS):
         super().__init__(listener, application, log=None, error_log=None)
         self.timeouts = timeouts
+        self.is_accepting = True
         self.open_sockets: set[socket.socket] = set()
+        self.idle_sockets: set[socket.socket] = set()
+
+    def idle_seconds(self) -> float:
+        """Return how long a connection waits for a request."""
+        idle = self.timeouts.idle
+        return idle if self.is_accepting else min(idle, LAST_REQUEST_SECONDS)
 
     def handle(self, sock, address):
         """Serve one connection until it closes."""
@@ -186,6 +207,23 @@
         finally:
             self.open_sockets.discard(sock)
 
+    def drain(self, seconds: float) -> None:
+        """Accept the queued connections, stop listening, and wait until no request is open.
+
+        Args:
+          seconds: Longest wait.
+        """
+        self.is_accepting = False
+        accept_queued(self, self.backlog)
+        self.close()
+        for sock in list(self.idle_sockets):
+            close_idle(sock)
+        ends_at = time.monotonic() + seconds
+        # Lets the greenlets of the connections that were accepted last start.
+        gevent.sleep(DRAIN_POLL_SECONDS)
+        while self.open_sockets and time.monotonic() < ends_at:
+            gevent.sleep(DRAIN_POLL_SECONDS)
+
     def abort(self) -> None:
         """Stop listening and shut down all connections without waiting for their requests."""
         for sock in list(self.open_sockets):
@@ -213,6 +251,12 @@
         logs.event("accept_failed", "warning", cause=str(error))
 
 
+def close_idle(sock: socket.socket) -> None:
+    """Shut down an idle connection, unless it has unread bytes of a new request."""
+    if http_client.is_open_and_idle(sock):
+        shutdown_socket(sock)
+
+
 def shutdown_socket(sock: socket.socket) -> None:
     """Shut down a connection in both directions, so that its peer stops waiting."""
     try:
--- a/bronzemux/router.py
+++ b/bronzemux/router.py
@@ -36,6 +36,8 @@
 DRAIN_POLL_SECONDS = 0.05
 # Time for the errors that end unfinished requests to be sent.
 INTERRUPT_SECONDS = 0.5
+# Time for the requests that arrive last, which are refused.
+LAST_REQUESTS_SECONDS = 1.0
 
 
 class EngineCache(context.EngineFactory):
@@ -203,7 +205,7 @@
             self.clock.sleep(DRAIN_POLL_SECONDS)
         unfinished = self.status.in_flight
         self._interrupt_requests()
-        self.server.stop(timeout=1)
+        self.server.drain(LAST_REQUESTS_SECONDS)
         self.root.stop()
         level = "warning" if unfinished else "info"
         logs.event("router_stopped", level, router=self.settings.name, left_requests=unfinished)
--- a/features/router_shutdown.feature
+++ b/features/router_shutdown.feature
@@ -22,3 +22,14 @@
     Given router 1 assigns no endpoint
     When router 1 stops while a plain chat runs, and another arrives every 0.2 seconds
     Then the one that waited is refused as not run before the router stopped
+
+  # Guards against requests that the close of the listening socket, or the exit, cuts off unanswered.
+  Scenario Outline: A request <moment>
+    When the stop meets a request <moment>
+    Then it got a complete answer before the process exited
+
+    Examples:
+      | moment                                       |
+      | in the backlog of the listening socket       |
+      | unread on a kept connection                  |
+      | whose body is half read                      |
--- a/features/steps/router_shutdown_steps.py
+++ b/features/steps/router_shutdown_steps.py
@@ -1,13 +1,16 @@
 """Steps for requests during the planned stop of a router."""
 
 import json
+import socket
 import time
 
 import gevent
+import gevent.monkey
 from behave import given, then, when
 
-from bronzemux import errors, messages
-from features import support
+from bronzemux import errors, http_client, messages
+from bronzemux.gateway import http1
+from features import gateway_support, support
 from features.steps import callers_steps
 
 DRAIN_SECONDS = 2.0
@@ -103,3 +106,68 @@
     ended_at, reply = context.running.value
     assert ended_at <= context.stopped_at + 0.05
     assert reply.status == 503 and reply.json()["error"]["outcome"] == "not-run", reply
+
+
+def encoded_chat(context) -> bytes:
+    """Return the bytes of a plain chat."""
+    headers = {"Authorization": f"Bearer {context.deployment.key('caseworkers')}"}
+    return http_client.encode_request(
+        "POST", callers_steps.CHAT, "router", headers, callers_steps.chat()
+    )
+
+
+def send_to_backlog(context, sock) -> None:
+    """Send a request on a new connection, which the router cannot have accepted yet."""
+    blocking = gevent.monkey.get_original("socket", "socket")()
+    blocking.connect(("127.0.0.1", context.deployment.routers[0].port))
+    blocking.sendall(encoded_chat(context))
+    context.sock = socket.socket(fileno=blocking.detach())
+    context.sock.settimeout(2.0)
+
+
+def send_unread(context, sock) -> None:
+    """Send a request on a kept connection."""
+    sock.sendall(encoded_chat(context))
+
+
+def send_in_halves(context, sock) -> None:
+    """Send half of a request, and the other half a little later."""
+    raw = encoded_chat(context)
+    sock.sendall(raw[:-20])
+    gevent.sleep(0.1)
+    gevent.spawn_later(0.2, sock.sendall, raw[-20:])
+
+
+SENDERS = {
+    "in the backlog of the listening socket": send_to_backlog,
+    "unread on a kept connection": send_unread,
+    "whose body is half read": send_in_halves,
+}
+
+
+@when("the stop meets a request {moment}")
+def step_meet(context, moment):
+    router = context.deployment.routers[0]
+    connection = callers_steps.open_connection(context)
+    connection.send("GET", "/healthz", {}, b"")
+    connection.receive("GET")
+    connection.read_all()
+    context.sock = connection.socket
+    interrupt = router._interrupt_requests
+
+    def interrupt_and_send() -> None:
+        interrupt()
+        SENDERS[moment](context, connection.socket)
+
+    router._interrupt_requests = interrupt_and_send
+    router.stop()
+    for sock in list(router.server.open_sockets):
+        sock.close()
+
+
+@then("it got a complete answer before the process exited")
+def step_complete(context):
+    reply = gateway_support.read_reply(http1.Channel(context.sock))
+    assert reply.status == 503 and reply.is_whole, reply
+    assert reply.head.get("connection") == "close", reply
+    assert json.loads(reply.body)["error"]["outcome"] == "not-run", reply
