Refuse requests at once when the dispatcher fails

When the task that assigns endpoints failed on a request, as it admitted it or as it assigned its endpoint, the reply was never set: the caller waited until a second after its deadline and was told that its deadline had passed. Requests in the queue were refused only when the task had been restarted, after 0.1 to 5 s.

The dispatcher now answers the request that it fails on, and its queue, before the failure reaches the supervisor. All get 503 with the outcome not-run.

--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -112,14 +112,17 @@
         self.admitted_ids: set[str] = set()
         self.computed_fraction = 1.0
 
-    def initialise_state(self) -> None:
-        """Reset all state except the configuration.
+    def run(self) -> None:
+        """Handle messages and ticks; a failure rejects the queued requests before it is raised."""
+        try:
+            super().run()
+        except Exception:
+            for ticket in list(self.queue):
+                ticket.payload.reply.set_exception(_failed_error())
+            raise
 
-        Requests that were queued before a failure of the task are rejected with
-        `errors.UnavailableError`.
-        """
-        for ticket in list(self.queue):
-            ticket.payload.reply.set_exception(_restarted_error())
+    def initialise_state(self) -> None:
+        """Reset all state except the configuration."""
         snapshot = self.snapshot
         self._reset_state()
         if snapshot is not None:
@@ -151,6 +154,9 @@
             self.meters.refusals.labels(error.kind).inc()
             message.reply.set_exception(error)
             return
+        except Exception:
+            message.reply.set_exception(_failed_error())
+            raise
         self.queue.push(ticket)
         self._assign_waiting()
 
@@ -407,7 +413,11 @@
             if ticket is None:
                 return
             self.preferences.forget(ticket.request_id)
-            self._assign(ticket.payload, choices[0], now)
+            try:
+                self._assign(ticket.payload, choices[0], now)
+            except Exception:
+                ticket.payload.reply.set_exception(_failed_error())
+                raise
 
     def _accept(self, view, choices, ticket: admission.Ticket) -> bool:
         """Return whether a ticket can start now.
@@ -548,7 +558,7 @@
     )
 
 
-def _restarted_error() -> errors.UnavailableError:
+def _failed_error() -> errors.UnavailableError:
     return errors.UnavailableError(
-        "the dispatcher restarted", "send again after Retry-After", RETRY_AFTER_SECONDS
+        "the dispatcher failed", "send again after Retry-After", RETRY_AFTER_SECONDS
     )
--- a/features/steps/web_steps.py
+++ b/features/steps/web_steps.py
@@ -1,11 +1,12 @@
 """Steps for requests to the product's interface that must not end without an answer."""
 
 import socket
+import time
 
 import gevent
 from behave import given, then, when
 
-from bronzemux import errors, http_client, http_server, service_execution, table
+from bronzemux import errors, http_client, http_server, service_execution, supervisor, table
 from features import support
 from features.steps import callers_steps, http_framing_steps
 
@@ -163,3 +164,62 @@
     connection.socket.sendall(raw)
     connection.socket.shutdown(socket.SHUT_WR)
     context.reply = receive(connection, "POST")
+
+
+def fail_once(owner, name: str) -> None:
+    """Make the next call of a method fail with an error that no caller expects."""
+
+    def call(*arguments, **named):
+        delattr(owner, name)
+        raise ValueError("unexpected")
+
+    setattr(owner, name, call)
+
+
+@given("the dispatcher fails {moment}")
+def step_dispatcher_fails(context, moment):
+    task = context.deployment.routers[0].dispatcher
+    if moment == "while a request waits in its queue":
+        # The tick that fails comes after the request was queued.
+        task._choose = lambda *arguments: None
+        gevent.spawn_later(0.2, fail_once, task, "tick")
+        return
+    method = {
+        "as it admits a request": "_check_admission",
+        "as it chooses an endpoint": "_choose",
+        "as it assigns an endpoint": "_assign",
+    }[moment]
+    fail_once(task, method)
+
+
+@given("the dispatcher takes {seconds:g} seconds to restart")
+def step_slow_restart(context, seconds):
+    def restore(value=supervisor.RESTART_BACKOFF_SECONDS):
+        supervisor.RESTART_BACKOFF_SECONDS = value
+
+    context.cleanups.append(restore)
+    supervisor.RESTART_BACKOFF_SECONDS = seconds
+    root = context.deployment.routers[0].root
+    task = context.deployment.routers[0].dispatcher
+    root.remove(task.name)
+    fail_once(task, "tick")
+    root.add(task)
+    gevent.sleep(0.1)
+    assert root.restarts.get(task.name) == 1, root.restarts
+
+
+@when("router 1 gets a plain chat with {seconds:g} seconds to its deadline")
+def step_send_with_deadline(context, seconds):
+    headers = {"X-Deadline-Seconds": str(seconds)}
+    address = support.router_address(context.deployment)
+    key = context.deployment.key("caseworkers")
+    started_at = time.monotonic()
+    context.reply = support.send(
+        address, "POST", callers_steps.CHAT, key, callers_steps.chat(), headers
+    )
+    context.seconds = time.monotonic() - started_at
+
+
+@then("it was answered within {seconds:g} seconds")
+def step_answered_within(context, seconds):
+    assert context.seconds <= seconds, context.seconds
--- a/features/web.feature
+++ b/features/web.feature
@@ -58,3 +58,18 @@
   Scenario: A caller that closes its sending side gets the answer
     When a caller sends a plain chat and closes its sending side
     Then the status is 200
+
+  # Guards against a caller that waits until after its deadline when the task that assigns endpoints fails.
+  Scenario Outline: The dispatcher fails <moment>
+    Given the dispatcher fails <moment>
+    When router 1 gets a plain chat with 3 seconds to its deadline
+    Then the status is 503 and the error is "unavailable_error"
+    And the outcome is "not-run"
+    And it was answered within 0.5 seconds
+
+    Examples:
+      | moment                               |
+      | as it admits a request               |
+      | as it chooses an endpoint            |
+      | as it assigns an endpoint            |
+      | while a request waits in its queue   |
