Refuse a request half a second after its deadline while the dispatcher restarts

A request that reached the dispatcher's mailbox during the pause before its restart (0.1 to 5 s) was refused a second after its deadline, as the caller's greenlet leaves the dispatcher that time to answer itself. The dispatcher checks its queue every 0.25 s, so that half a second is enough. The delay that callers are asked for stays a second and gets a constant of its own.

--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -25,8 +25,9 @@
 
 MAX_STREAM_RESUMES = 3
 MAX_REFUSED_ATTEMPTS = 8
-# Lets the dispatcher reject an expired request itself; also the retry delay sent to callers.
-ADMISSION_GRACE_SECONDS = 1.0
+# Lets the dispatcher, which checks its queue every 0.25 s, reject an expired request itself.
+ADMISSION_GRACE_SECONDS = 0.5
+RETRY_AFTER_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,7 +114,7 @@
             raise errors.OverloadedError(
                 "the deadline passed before an endpoint was assigned",
                 "send again after Retry-After",
-                ADMISSION_GRACE_SECONDS,
+                RETRY_AFTER_SECONDS,
                 self.outcome(),
             ) from None
         except errors.OverloadedError as error:
@@ -189,7 +190,7 @@
             return errors.UnavailableError(
                 f"no endpoint accepted the request: {error.message}",
                 "send again after Retry-After",
-                ADMISSION_GRACE_SECONDS,
+                RETRY_AFTER_SECONDS,
             )
         return errors.OutcomeUnknownError(
             f"the endpoint failed while it processed the request: {error.message}",
--- a/features/web.feature
+++ b/features/web.feature
@@ -73,3 +73,11 @@
       | as it chooses an endpoint            |
       | as it assigns an endpoint            |
       | while a request waits in its queue   |
+
+  # Guards against a request that is refused only a second after its deadline while the task restarts.
+  Scenario: A request whose deadline passes while the dispatcher restarts is refused soon after
+    Given the dispatcher takes 5 seconds to restart
+    When router 1 gets a plain chat with 0.5 seconds to its deadline
+    Then the status is 503 and the error is "overloaded_error"
+    And the outcome is "not-run"
+    And it was answered within 1.2 seconds
