Go on sending to an endpoint that read on during a pause of the process

While a long request was being sent to an endpoint and the router stood still past the attempt's timeout, the timer ran before the event that the socket took bytes again: the attempt failed as silent, and a request that must not be repeated got 502 from a sound endpoint.

A send now times out only when the socket takes no bytes at that moment, as reads time out only when there are none.

--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -7,10 +7,12 @@
 """
 
 import re
+import select
 import socket
 from collections.abc import Callable, Iterator
 
 import gevent
+import gevent.monkey
 import gevent.select
 
 from bronzemux import errors, http_client, records
@@ -440,13 +442,20 @@
         poll = gevent.select.poll()
         poll.register(self.sock, gevent.select.POLLIN | gevent.select.POLLOUT)
         has_events = bool(poll.poll(timeout * 1000))
-        # Bytes may also have arrived after the timeout expired, during a pause of the process.
+        # Bytes may also have arrived or been read after the timeout expired, during a pause of the
+        # process.
         if not http_client.is_open_and_idle(self.sock):
             return False
-        if not has_events:
+        if not has_events and not self._is_writable():
             raise TimeoutError("the remote end accepts no more data")
         return True
 
+    def _is_writable(self) -> bool:
+        """Return whether bytes can be sent now, without letting other greenlets run."""
+        poll = gevent.monkey.get_original("select", "poll")()
+        poll.register(self.sock.fileno(), select.POLLOUT)
+        return bool(poll.poll(0))
+
     def is_open_and_idle(self) -> bool:
         """Return whether the connection is open and has no unread data.
 
--- a/features/http_framing.feature
+++ b/features/http_framing.feature
@@ -70,3 +70,4 @@
       | responds before it reads the body      | stops when the response arrives |
       | reads nothing                          | times out                       |
       | responds during a pause of the process | stops when the response arrives |
+      | reads on during a pause of the process | ends when the body is sent      |
--- a/features/steps/http_framing_steps.py
+++ b/features/steps/http_framing_steps.py
@@ -133,6 +133,8 @@
         context.timeout = 0.2
     if reads == "responds during a pause of the process":
         context.pause = lambda: send_during_pause(remote, response, 0.4)
+    if reads == "reads on during a pause of the process":
+        context.pause = lambda: read_during_pause(remote, 0.4)
     context.channel = http1.Channel(local)
 
 
@@ -142,6 +144,19 @@
         continue
 
 
+def read_during_pause(sock: socket.socket, seconds: float) -> None:
+    """Start to read during a pause of this process, after the event loop has last polled.
+
+    Args:
+      sock: Connected socket.
+      seconds: Length of the pause, longer than the timeouts.
+    """
+    reader = gevent.spawn_later(0.01, read_all, sock)
+    gevent.monkey.get_original("time", "sleep")(seconds)
+    gevent.sleep(0)
+    assert reader.started
+
+
 @when("a body of 8 MB is sent to it")
 def step_send_long_body(context):
     timeout = getattr(context, "timeout", TIMEOUT_SECONDS)
