Send a response that arrived during a pause although the deadline has passed

A router that stood still past a request's deadline threw away a response that had arrived meanwhile: the timer of the deadline runs before the socket is read. The caller of an unsafe request got 504, which says nothing, for work that was done.

When the timer of the deadline expires more than 50 ms late, the request now gets 20 ms, in which the event loop hands over what arrived; the rest is as before, and a request without a response gets 504 then. A read that times out after the deadline also ends in 504, not in 502.

--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -106,6 +106,8 @@
         try:
             return self._send_and_receive()
         except TimeoutError:
+            if self.clock.monotonic() >= self.job.deadline_at:
+                raise failures.DeadlineError("the deadline has passed", "allow more time") from None
             return failures.PossiblyExecuted("silent", successor=self.successor)
         except http1.EndOfStreamError:
             cause = "quarantined" if self.is_quarantined else "lost"
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Callable
 
-import gevent
-
-from bronzemux import logs, quarantine
+from bronzemux import interruption, logs, quarantine
 from bronzemux.gateway import (
     admission,
     cache_index,
@@ -99,13 +97,10 @@
     def _serve_until_deadline(self, job: jobs.Job, caller) -> str:
         remaining = job.deadline_at - self.clock.monotonic()
         expired = failures.DeadlineError("the deadline has passed", "allow more time")
-        timer = gevent.Timeout(max(0.001, remaining - TIMEOUT_MARGIN_SECONDS), expired)
-        timer.start()
+        seconds = max(0.001, remaining - TIMEOUT_MARGIN_SECONDS)
         try:
-            try:
+            with interruption.Timer(seconds, expired, self.clock):
                 return self._serve_with_retries(job, caller)
-            finally:
-                timer.close()
         except failures.DeadlineError:
             if caller.has_begun:
                 job.failed_attempts.append("deadline passed during the response")
--- a/bronzemux/interruption.py
+++ b/bronzemux/interruption.py
@@ -2,6 +2,13 @@
 
 import gevent
 
+from bronzemux import clock as clocks
+
+# A timer that expires later than this shows that the process stood still.
+PAUSE_SECONDS = 0.05
+# Time for the event loop to hand over what arrived during a pause.
+AFTER_PAUSE_SECONDS = 0.02
+
 
 class Scope:
     """Scope in which other greenlets can raise one error in the greenlet that entered it.
@@ -34,3 +41,53 @@
         if self.is_active:
             self.is_active = False
             self.greenlet.throw(error)
+
+
+class Timer:
+    """Raise an error in the greenlet that entered the context when a time is over.
+
+    A context manager. After a pause of the process, the greenlet first gets the bytes that arrived
+    meanwhile, and may end the context with them.
+
+    Args:
+      seconds: The time, more than 0.
+      error: The error.
+      clock: Source of time.
+    """
+
+    def __init__(self, seconds: float, error: Exception, clock: clocks.Clock):
+        self.seconds = seconds
+        self.error = error
+        self.clock = clock
+        self.greenlet: gevent.Greenlet | None = None
+        self.ends_at = 0.0
+        self.timer = None
+
+    def __enter__(self):
+        self.greenlet = gevent.getcurrent()
+        self.ends_at = self.clock.monotonic() + self.seconds
+        self._start(self.seconds, self._on_expiry)
+        return self
+
+    def __exit__(self, *exception):
+        self._stop()
+
+    def _start(self, seconds: float, function) -> None:
+        self._stop()
+        self.timer = gevent.get_hub().loop.timer(seconds)
+        self.timer.start(function)
+
+    def _stop(self) -> None:
+        if self.timer is not None:
+            self.timer.stop()
+            self.timer.close()
+            self.timer = None
+
+    def _on_expiry(self) -> None:
+        if self.clock.monotonic() - self.ends_at > PAUSE_SECONDS:
+            self._start(AFTER_PAUSE_SECONDS, self._raise)
+        else:
+            self._raise()
+
+    def _raise(self) -> None:
+        self.greenlet.throw(self.error)
--- a/features/gateway_ingress.feature
+++ b/features/gateway_ingress.feature
@@ -154,3 +154,19 @@
       | the queue of requests is full              |
       | no file descriptor is left for connections |
       | the gateway has not read the store         |
+
+  # Guards against a response that is thrown away because the deadline passed during a pause.
+  Scenario Outline: A response that arrived during a pause is sent although the deadline has passed
+    Given a request runs at an endpoint
+    When the request "POST <path>" with 0.5 seconds to its deadline is sent, and a pause of 1 second begins
+    Then the status is 200 and the response is complete
+
+    Examples:
+      | path      |
+      | /filing/1 |
+      | /status/1 |
+
+  Scenario: A request that is not answered by its deadline gets 504 then
+    Given the endpoints do not answer
+    When the request "POST /filing/1" with 0.5 seconds to its deadline is sent, and a pause of 1 second begins
+    Then the status is 504, and the request ran at 1 endpoints
--- a/features/steps/gateway_ingress_steps.py
+++ b/features/steps/gateway_ingress_steps.py
@@ -8,10 +8,12 @@
 
 import gevent
 import gevent.event
+import gevent.monkey
 from behave import given, then, when
 
 from bronzemux import errors, interruption, logs
 from bronzemux.gateway import failures, http1, waiting
+from bronzemux.platform import standin_worker
 from features import gateway_support
 from features.steps import http_framing_steps
 
@@ -306,3 +308,23 @@
 def step_store_not_read(context):
     context.site.gateways[0].cluster_state.is_complete = lambda: False
     context.site.gateways[0].cluster_state.configuration = None
+
+
+@given("the endpoints do not answer")
+def step_no_answer(context):
+    for worker in context.site.workers.values():
+        worker.fault = standin_worker.Fault.HANG
+
+
+@when(
+    'the request "{method} {path}" with {seconds:g} seconds to its deadline is sent, and a pause of '
+    "1 second begins"
+)
+def step_pause_at_endpoint(context, method, path, seconds):
+    deadline_ms = str(int(seconds * 1000))
+    sending = gevent.spawn(context.site.send, path, method=method, Deadline_Ms=deadline_ms)
+    gateway_support.wait_for(
+        lambda: any(worker.executed for worker in context.site.workers.values())
+    )
+    gevent.monkey.get_original("time", "sleep")(1.0)
+    context.replies = [sending.get(timeout=2.0)]
