Doubt an endpoint's entry until a heartbeat that follows its crash

A stream that began at a process which had restarted under its identity with other software went on at the version of the process before: its events were joined from two versions.

After a crash, a router doubts the entry until one with more heartbeats. But that one may have been written before the crash, and come by the store's delay after it. Its next heartbeat shows that the process runs, as for the withdrawal of an announced leaving.

--- a/bronzemux/gateway/crash_attribution.py
+++ b/bronzemux/gateway/crash_attribution.py
@@ -131,7 +131,7 @@
         """
         for state in self.table.states.values():
             if state.endpoint.incarnation == incarnation:
-                state.is_entry_doubtful = True
+                state.doubt_entry()
         decided = self.quarantine.record_crash(
             incarnation, incarnation, lost, self.clock.monotonic()
         )
--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -140,6 +140,8 @@
       is_gone: Whether the endpoint was removed, or replaced by a new incarnation.
       is_entry_doubtful: Whether its process ended, and no entry has been written since, so that one
         with other software may use its identity and address.
+      has_later_entry: Whether an entry with more heartbeats has come since then. It may have been
+        written before; the next one cannot have been.
       cached_peer_load: Sum of the loads of other gateways when it was last computed, None before.
       hash_name: The incarnation as input of rendezvous hashing.
       notices: What the endpoint has asked of this router.
@@ -165,6 +167,7 @@
     suspect_count: int = 0
     is_gone: bool = False
     is_entry_doubtful: bool = False
+    has_later_entry: bool = False
     cached_peer_load: CachedPeerLoad | None = None
     hash_name: bytes = b""
     notices: endpoint_notices.Notices = dataclasses.field(default_factory=endpoint_notices.Notices)
@@ -175,12 +178,17 @@
     def update(self, endpoint: model.Endpoint) -> None:
         """Apply a newer entry of the same incarnation."""
         if endpoint.heartbeats > self.endpoint.heartbeats:
-            self.is_entry_doubtful = False
+            self.is_entry_doubtful = self.is_entry_doubtful and not self.has_later_entry
+            self.has_later_entry = True
         self.endpoint = endpoint
         self.notices.apply_entry(endpoint)
         for name, version in endpoint.weights.items():
             self.record_weights(name, version)
 
+    def doubt_entry(self) -> None:
+        """Record that the process has ended."""
+        self.is_entry_doubtful, self.has_later_entry = True, False
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the endpoint leaves, by its entry or by a response, and gets nothing new."""
--- a/bronzemux/platform/standin_worker.py
+++ b/bronzemux/platform/standin_worker.py
@@ -185,6 +185,14 @@
         for channel in list(self.channels):
             channel.sock.shutdown(socket.SHUT_RDWR)
 
+    def reopen(self) -> None:
+        """Accept connections at the same address again after a crash."""
+        self.has_crashed = False
+        self.fault = Fault.NONE
+        address = (self.server.server_host, self.server.server_port)
+        self.server = gevent.server.StreamServer(address, self._serve_connection)
+        self.start()
+
     def restart(self, software: str) -> None:
         """Start again under the same identity with other software, without registering it.
 
--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -293,3 +293,22 @@
     And the endpoint "lm-1" restarts with software "v2", and its entry stays
     When 4 callers stream "/classify/" from "lm-1", whose entry is written before it breaks off
     Then each caller got the events 1 to 2 of software "v2" and the end within 2 seconds
+
+  # Guards against a stream that goes on at the version of a process that has ended: its last
+  # heartbeat arrives after the crash, before the entry of the next process.
+  Scenario Outline: Only heartbeats after a crash show that the entry still holds
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2 lm-3" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    And the endpoint "lm-1" crashes during a stream
+    And the heartbeats <heartbeats> of "lm-1" arrive
+    And the endpoint "lm-1" accepts connections again with software "<software>", and its entry stays
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the callers return at the first router
+    Then each caller <outcome>
+
+    Examples:
+      | heartbeats | software | outcome                                                      |
+      | 2          | v2       | is refused with 503 within 1 second, and nothing ran for it  |
+      | 2 3        | v1       | got the events 1 to 6 of software "v1"                       |
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -233,6 +233,33 @@
     context.site.workers[name].restart(software)
 
 
+@given('the endpoint "{name}" crashes during a stream')
+def step_crash(context, name):
+    context.site.workers[name].fault = standin_worker.Fault.CRASH_STREAM
+    gevent.joinall(begin(context, 1, "/classify/", name, standin_worker.STREAM_EVENTS))
+    state = context.site.gateways[0].endpoints.states[name]
+    gateway_support.wait_for(lambda: state.is_suspected)
+
+
+@given('the heartbeats {numbers} of "{name}" arrive')
+def step_heartbeats(context, numbers, name):
+    state = context.site.gateways[0].endpoints.states[name]
+    for number in map(int, numbers.split()):
+        context.site.store.put("servers", name, context.site.workers[name].entry(sequence=number))
+        gateway_support.wait_for(lambda number=number: state.endpoint.heartbeats == number)
+
+
+@given(
+    'the endpoint "{name}" accepts connections again with software "{software}", and its entry stays'
+)
+def step_accepts_again(context, name, software):
+    worker = context.site.workers[name]
+    worker.reopen()
+    worker.restart(software)
+    state = context.site.gateways[0].endpoints.states[name]
+    gateway_support.wait_for(lambda: not state.is_suspected)
+
+
 # One response
 
 
