Doubt an endpoint's entry when its VM refuses connections

A stream that began at a process which had restarted under its identity with other software went on at the version of the process before, although the router had seen that nothing listened at its address in between: its events were joined from two versions.

Only an endpoint that crashed while a request of some router ran there made its entry doubtful. One that runs nothing crashes unseen; the next connection is refused, and its probes until the process is back, and they say as much. A connection that only times out says nothing about the process.

--- a/bronzemux/gateway/channels.py
+++ b/bronzemux/gateway/channels.py
@@ -114,25 +114,36 @@
                 del self.idle[incarnation]
 
 
-def accepts(address: str) -> bool:
-    """Return whether an address accepts a TCP connection."""
+def probe(address: str) -> bool:
+    """Return whether an address accepts a TCP connection.
+
+    Raises:
+      ConnectionRefusedError: When its VM answers that no process listens there.
+    """
     host, _, port = address.rpartition(":")
     try:
         socket.create_connection((host, int(port)), CONNECT_SECONDS).close()
+    except ConnectionRefusedError:
+        raise
     except OSError:
         return False
     return True
 
 
+def accepts(address: str) -> bool:
+    """Return whether an address accepts a TCP connection."""
+    try:
+        return probe(address)
+    except ConnectionRefusedError:
+        return False
+
+
 def refuses(address: str) -> bool:
     """Return whether the VM of an address answers that no process listens there."""
-    host, _, port = address.rpartition(":")
     try:
-        socket.create_connection((host, int(port)), CONNECT_SECONDS).close()
+        probe(address)
     except ConnectionRefusedError:
         return True
-    except OSError:
-        return False
     return False
 
 
--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -186,7 +186,7 @@
             self.record_weights(name, version)
 
     def doubt_entry(self) -> None:
-        """Record that the process has ended."""
+        """Record that the process has ended: its VM refuses connections."""
         self.is_entry_doubtful, self.has_later_entry = True, False
 
     @property
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -100,6 +100,8 @@
         try:
             self.channel = self._connect()
         except OSError as error:
+            if isinstance(error, ConnectionRefusedError):
+                self.state.doubt_entry()
             self.components.reachability.report(self.state, str(error))
             return failures.NotExecuted("unreachable", has_arrived=False)
         self.state.attempts.add(self)
--- a/bronzemux/gateway/reachability.py
+++ b/bronzemux/gateway/reachability.py
@@ -31,14 +31,14 @@
     Args:
       clock: Source of time.
       wake: Called when an endpoint may get requests again.
-      connect: Returns whether an address accepts a connection.
+      connect: Returns whether an address accepts a connection, or raises `ConnectionRefusedError`.
     """
 
     def __init__(
         self,
         clock: clocks.Clock,
         wake: Callable[[], None],
-        connect: Callable[[str], bool] = channels.accepts,
+        connect: Callable[[str], bool] = channels.probe,
     ):
         self.clock = clock
         self.wake = wake
@@ -78,7 +78,7 @@
         pause, probes = INITIAL_PROBE_PAUSE_SECONDS, 0
         while not state.is_gone:
             probes += 1
-            if self.connect(state.endpoint.address):
+            if self._accepts(state):
                 break
             now = self.clock.monotonic()
             if not state.is_down and now - max(began_at, state.last_received_at) >= DOWN_SECONDS:
@@ -95,6 +95,13 @@
         )
         self.wake()
 
+    def _accepts(self, state: endpoints.EndpointState) -> bool:
+        try:
+            return self.connect(state.endpoint.address)
+        except ConnectionRefusedError:
+            state.doubt_entry()
+            return False
+
     def _mark_down(self, state: endpoints.EndpointState) -> None:
         """Mark an endpoint as down, and abort its attempts that can continue elsewhere."""
         state.is_down = True
--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -312,3 +312,16 @@
       | heartbeats | software | outcome                                                      |
       | 2          | v2       | is refused with 503 within 1 second, and nothing ran for it  |
       | 2 3        | v1       | got the events 1 to 6 of software "v1"                       |
+
+  # Guards against a stream that goes on at the version of a process that has ended, which this router
+  # knew from connections that were refused.
+  Scenario: A refused connection shows that an entry may not hold any more
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2 lm-3" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    And the endpoint "lm-1" crashes while it runs nothing, and refuses a connection
+    And the endpoint "lm-1" accepts connections again with software "v2", and its entry stays
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the callers return at the first router
+    Then each caller is refused with 503 within 1 second, and nothing ran for it
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -241,6 +241,15 @@
     gateway_support.wait_for(lambda: state.is_suspected)
 
 
+@given('the endpoint "{name}" crashes while it runs nothing, and refuses a connection')
+def step_crash_idle(context, name):
+    context.site.workers[name].crash()
+    with preferred(context, name):
+        attempt = StreamCaller(context.site, 99).stream(0)
+    assert attempt.is_whole, attempt
+    assert context.site.gateways[0].endpoints.states[name].is_suspected
+
+
 @given('the heartbeats {numbers} of "{name}" arrive')
 def step_heartbeats(context, numbers, name):
     state = context.site.gateways[0].endpoints.states[name]
