Do not take entries for up to date while nothing is heard from the store

A router whose calls to the store hung went on with a stream of unknown origin at the one version that it knew, although other routers may have used another one by then: the events may be joined from two versions.

Whether entries were up to date followed from whether the store counts as reachable, and a router notices only after its poll's time limit that it is not; the three seconds without contact were counted from then, up to six to eight seconds after the last response. Now they are counted from the last rows that were as new as the router's, or the last status of a follower where the router does not follow the store itself.

--- a/bronzemux/gateway/cluster_state.py
+++ b/bronzemux/gateway/cluster_state.py
@@ -101,6 +101,7 @@
         store may have an older one than that in force.
       targets: Requested weights versions by model.
       last_contact_at: Monotonic seconds at which rows last arrived from the store or a peer.
+      endpoints_read_at: Monotonic seconds at which the endpoint table was last up to date.
       store_lost_at: Monotonic seconds at which the store stopped answering, None while it answers
         or is not queried; by table.
       store_recovered_at: Monotonic seconds at which the store last became available again.
@@ -142,7 +143,7 @@
         self.configuration_row = -1
         self.replicated_configuration = 0
         self.targets: dict[str, TargetHistory] = {}
-        self.last_contact_at = -1e9
+        self.last_contact_at = self.endpoints_read_at = -1e9
         self.store_lost_at: dict[str, float | None] = {}
         self.store_recovered_at = -1e9
         self.lapse_reported_at = -1e9
@@ -181,6 +182,8 @@
                 snapshot=batch.is_snapshot,
                 source=source,
             )
+        elif name == self.documents.endpoint_table:
+            self.endpoints_read_at = self.last_contact_at
         after, era = replica.changed_version, replica.era
         version, was_read = replica.version, replica.version >= 0
         changed = replica.apply(batch)
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -253,7 +253,7 @@
             origins, history, platform.table, self.peering.store_following, self.meters, clock
         )
         components.continuation.reader = self.origin_store
-        history.is_in_contact = self._is_in_contact
+        history.contact_at = self._contact_at
         self.cluster_state.on_change.append(history.observe)
         self.weights_rollout = weights.WeightsRollout(
             config,
@@ -274,9 +274,15 @@
             weights.LEASE_NAME, holder, lease_settings, self.platform.table, self.clock
         )
 
-    def _is_in_contact(self) -> bool:
-        """Return whether the endpoints' entries are up to date, from the store or a peer."""
-        return self.cluster_state.is_following() or self.peering.store_following.hears_follower()
+    def _contact_at(self) -> float:
+        """Return when the endpoints' entries were last up to date, from the store or a peer.
+
+        A router that follows the store may take seconds to notice that it does not answer.
+        """
+        read_at = self.cluster_state.endpoints_read_at
+        if self.cluster_state.is_following():
+            return read_at
+        return max(read_at, self.peering.store_following.follower_seen_at)
 
     def _router_count(self) -> int:
         return self.routers.budget_divisor(self.clock.monotonic())
--- a/bronzemux/gateway/software_history.py
+++ b/bronzemux/gateway/software_history.py
@@ -47,18 +47,19 @@
       state: State of the cluster.
 
     Attributes:
-      is_in_contact: Returns whether the endpoints' entries are up to date, from the store or a peer.
+      contact_at: Returns the monotonic seconds at which the endpoints' entries were last up to date,
+        from the store or a peer.
       last_seen: Monotonic seconds at which each version was last in service, by service.
       present: Versions in service, by service.
       known_since: Monotonic seconds since which all versions in service are known, by service.
-      observed_at: Monotonic seconds of the last observation.
+      observed_at: Monotonic seconds at which the entries were up to date, as last observed.
       is_stored_due: Whether the stored versions have to be read, after the start or a gap.
     """
 
     def __init__(self, clock: clocks.Clock, state: cluster_state.ClusterState):
         self.clock = clock
         self.cluster_state = state
-        self.is_in_contact: Callable[[], bool] = lambda: True
+        self.contact_at: Callable[[], float] = clock.monotonic
         self.last_seen: dict[str, dict[str, float]] = {}
         self.present: dict[str, frozenset[str]] = {}
         self.known_since: dict[str, float] = {}
@@ -80,8 +81,7 @@
             found.setdefault(state.endpoint.service, set()).add(state.endpoint.software)
         for service in self.present.keys() | found.keys():
             self._observe_service(service, frozenset(found.get(service, ())), now)
-        if self.is_in_contact():
-            self.observed_at = now
+        self.observed_at = max(self.observed_at, self.contact_at())
 
     def _observe_service(self, service: str, versions: frozenset[str], now: float) -> None:
         seen = self.last_seen.setdefault(service, {})
--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -325,3 +325,16 @@
     When the streams of 6 callers from "lm-1" break after event 2
     And the callers return at the first router
     Then each caller is refused with 503 within 1 second, and nothing ran for it
+
+  # Guards against a router that takes its entries for up to date while it hears nothing, as other
+  # routers may use a version that it does not know.
+  Scenario: A router that hears nothing for seconds does not know the only version
+    Given a platform on which streams last at most 1 second
+    And the endpoints "lm-1 lm-2" of software "v1"
+    And a gateway
+    And the endpoints have served for 8 seconds
+    When the streams of 4 callers from "lm-1" break after event 2
+    And the store has the fault "silent"
+    And 5.5 seconds pass at the routers
+    And the callers return at the first router and name an unknown attempt
+    Then each caller is refused with 503 within 1 second, and nothing ran for it
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -434,6 +434,11 @@
     context.site.store.fault = standin_store.Fault(fault)
 
 
+@when("{seconds:g} seconds pass at the routers")
+def step_pass(context, seconds):
+    gevent.sleep(seconds)
+
+
 @when("the callers return at {place} router")
 def step_return(context, place):
     run_all(StreamCaller.take_up, context.callers, PLACES[place])
--- a/features/steps/origin_store_steps.py
+++ b/features/steps/origin_store_steps.py
@@ -69,7 +69,7 @@
         self.state.apply_rows("op", rows.Batch((config,), 1, is_snapshot=True), "store")
         self.origins = stream_origins.StreamOrigins(site.clock)
         self.history = software_history.SoftwareHistory(site.clock, self.state)
-        self.history.is_in_contact = lambda: not self.is_cut
+        self.history.contact_at = lambda: -1e9 if self.is_cut else site.clock.monotonic()
         self.state.on_change.append(self.history.observe)
         own = types.SimpleNamespace(name=name)
         known = types.SimpleNamespace(
