--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -293,3 +293,48 @@
     And the endpoint "lm-1" restarts with software "v2", and its entry stays
     When 4 callers stream "/classify/" from "lm-1", whose entry is written before it breaks off
     Then each caller got the events 1 to 2 of software "v2" and the end within 2 seconds
+
+  # Guards against a stream that goes on at the version of a process that has ended: its last
+  # heartbeat arrives after the crash, before the entry of the next process.
+  Scenario Outline: Only heartbeats after a crash show that the entry still holds
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2 lm-3" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    And the endpoint "lm-1" crashes during a stream
+    And the heartbeats <heartbeats> of "lm-1" arrive
+    And the endpoint "lm-1" accepts connections again with software "<software>", and its entry stays
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the callers return at the first router
+    Then each caller <outcome>
+
+    Examples:
+      | heartbeats | software | outcome                                                      |
+      | 2          | v2       | is refused with 503 within 1 second, and nothing ran for it  |
+      | 2 3        | v1       | got the events 1 to 6 of software "v1"                       |
+
+  # Guards against a stream that goes on at the version of a process that has ended, which this router
+  # knew from connections that were refused.
+  Scenario: A refused connection shows that an entry may not hold any more
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2 lm-3" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    And the endpoint "lm-1" crashes while it runs nothing, and refuses a connection
+    And the endpoint "lm-1" accepts connections again with software "v2", and its entry stays
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the callers return at the first router
+    Then each caller is refused with 503 within 1 second, and nothing ran for it
+
+  # Guards against a router that takes its entries for up to date while it hears nothing, as other
+  # routers may use a version that it does not know.
+  Scenario: A router that hears nothing for seconds does not know the only version
+    Given a platform on which streams last at most 1 second
+    And the endpoints "lm-1 lm-2" of software "v1"
+    And a gateway
+    And the endpoints have served for 8 seconds
+    When the streams of 4 callers from "lm-1" break after event 2
+    And the store has the fault "silent"
+    And 5.5 seconds pass at the routers
+    And the callers return at the first router and name an unknown attempt
+    Then each caller is refused with 503 within 1 second, and nothing ran for it
