Test that the restart of supervised tasks leaves requests in progress alone

All tasks of the gateway's supervisor get an unexpected error while a request waits for an endpoint or runs at one; all but the two feeds restart, and the request is served. The three scenarios passed at once: nothing to mend.

--- a/features/gateway_ingress.feature
+++ b/features/gateway_ingress.feature
@@ -170,3 +170,16 @@
     Given the endpoints do not answer
     When the request "POST /filing/1" with 0.5 seconds to its deadline is sent, and a pause of 1 second begins
     Then the status is 504, and the request ran at 1 endpoints
+
+  # Guards against requests that depend on a task which fails and is restarted.
+  Scenario Outline: All supervised tasks fail while a request <progress>
+    Given a request <progress>
+    When all supervised tasks fail during the request "POST <path>"
+    And it may then be served
+    Then the status is 200 and the response is complete
+
+    Examples:
+      | progress              | path      |
+      | waits for an endpoint | /filing/1 |
+      | runs at an endpoint   | /filing/1 |
+      | runs at an endpoint   | /draft/1  |
--- a/features/steps/gateway_ingress_steps.py
+++ b/features/steps/gateway_ingress_steps.py
@@ -281,6 +281,21 @@
     assert served.ingress.in_flight == 1
 
 
+@when('all supervised tasks fail during the request "{method} {path}"')
+def step_tasks_fail(context, method, path):
+    served = context.site.gateways[0]
+    context.request_greenlet = gevent.spawn(context.site.send, path, method=method)
+    gateway_support.wait_for(lambda: served.ingress.in_flight == 1)
+    gevent.sleep(0.05)
+    tasks = served.supervisor.greenlets
+    for greenlet in tasks.values():
+        greenlet.kill(ValueError("unexpected"), block=False)
+    # A feed does not restart on an error during its call to the store.
+    restarted = {name for name in tasks if not name.startswith("feed-")}
+    gateway_support.wait_for(lambda: restarted <= served.supervisor.restarts.keys())
+    assert served.ingress.in_flight == 1
+
+
 @when("it may then be served")
 def step_release(context):
     vars(context.site.gateways[0].forwarder).pop("_try_choose", None)
