Leave the timeout of a connection as it is after a look at its unread bytes

http_client.is_open_and_idle set the timeout of a socket to 0 and restored it only when there was nothing to read.

--- a/bronzemux/http_client.py
+++ b/bronzemux/http_client.py
@@ -323,10 +323,11 @@
     try:
         sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
-        sock.settimeout(timeout)
         return True
     except OSError:
         return False
+    finally:
+        sock.settimeout(timeout)
     return False
 
 
--- a/features/http_framing.feature
+++ b/features/http_framing.feature
@@ -71,3 +71,14 @@
       | reads nothing                          | times out                       |
       | responds during a pause of the process | stops when the response arrives |
       | reads on during a pause of the process | ends when the body is sent      |
+
+  # Guards against a response that is cut off as the look for a next request disabled its timeout.
+  Scenario Outline: A look at a connection <state> leaves its timeout as it is
+    When a connection <state> is looked at
+    Then its timeout is as before
+
+    Examples:
+      | state                    |
+      | with unread bytes        |
+      | that is idle             |
+      | that was closed          |
--- a/features/steps/http_framing_steps.py
+++ b/features/steps/http_framing_steps.py
@@ -8,6 +8,7 @@
 import gevent.monkey
 from behave import given, then, when
 
+from bronzemux import http_client
 from bronzemux.gateway import http1
 
 BODY_LIMIT = 1_000_000
@@ -210,3 +211,20 @@
     except TimeoutError:
         return
     raise AssertionError("the reader did not time out")
+
+
+@when("a connection {state} is looked at")
+def step_look(context, state):
+    local, remote = connected_pair()
+    context.cleanups += [local.close, remote.close]
+    if state == "with unread bytes":
+        remote.sendall(b"next")
+    elif state == "that was closed":
+        remote.close()
+    context.sock = local
+    assert http_client.is_open_and_idle(local) is (state == "that is idle")
+
+
+@then("its timeout is as before")
+def step_timeout_kept(context):
+    assert context.sock.gettimeout() == TIMEOUT_SECONDS
