Answer the requests behind one on its connection before closing it in a stop

During a planned stop a gateway announced the close with the next response and closed, although further requests had already arrived on the connection and may have been read: their callers got nothing.

A response announces the close only when no next request has arrived by then. The end of the grace bounds a caller that never stops.

--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -89,9 +89,14 @@
 
     def connection_fields(self) -> list[tuple[str, str]]:
         """Return the Connection header field of the next response, if it needs one."""
-        self.is_closing = self.is_closing or self.is_stopping()
+        self._close_if_stopping()
         return [("Connection", "close")] if self.is_closing else []
 
+    def _close_if_stopping(self) -> None:
+        # A request that has already arrived behind this one is answered, too.
+        if self.is_stopping() and self.channel.is_open_and_idle():
+            self.is_closing = True
+
     def send(self, data: bytes) -> None:
         """Send bytes to the caller.
 
@@ -119,7 +124,7 @@
         """
         if self.has_begun:
             raise http1.EndOfStreamError(f"the response broke off: {text}")
-        self.is_closing = self.is_closing or self.is_stopping()
+        self._close_if_stopping()
         self.send(
             self.protocol.encode_refusal(request_id, status, text, retry_after, self.is_closing)
         )
@@ -295,7 +300,7 @@
         self, channel, caller: CallerConnection, head, body: bytes, arrived_at: float
     ) -> bool:
         self.last_request_at = arrived_at
-        caller.is_closing = self.is_stopping or head.is_closing()
+        caller.is_closing = head.is_closing()
         channel.sock.settimeout(WRITE_TIMEOUT_SECONDS)
         try:
             request = self.protocol.decode_request(head, body)
--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -73,6 +73,7 @@
       | unread on a kept connection as the listening socket closes         |
       | whose body is half read as the listening socket closes             |
       | on the connection of a stream that began before the stop           |
+      | with two more behind it on its connection                          |
 
   # Guards against a request that is passed on although its connection is closed for the answer.
   Scenario Outline: A request that crosses the close of its idle connection is not passed on
--- a/features/steps/gateway_shutdown_steps.py
+++ b/features/steps/gateway_shutdown_steps.py
@@ -252,6 +252,20 @@
         stopping.get(timeout=5.0)
 
 
+@when("the stop meets a request with two more behind it on its connection")
+def step_stop_pipelined(context):
+    step_execution_seconds(context, 0.2)
+    sock = connect_idle(context)
+    channel = http1.Channel(sock)
+    stopping = gevent.spawn(run_stop, context)
+    gevent.sleep(0.05)
+    sock.sendall(b"".join(context.site.encode(f"/filing/{n}") for n in range(3)))
+    replies = [gateway_support.read_reply(channel) for _ in range(3)]
+    assert all(reply.is_whole for reply in replies), replies
+    context.replies = replies[-1:]
+    stopping.get(timeout=5.0)
+
+
 @then("the request got a complete answer before the process exited")
 def step_answered_at_close(context):
     assert context.replies
