Return a change that precedes the timeout of a long poll in the stand-in store

Cause: a long poll of the stand-in that timed out returned no rows, but the version that the store had by then. When a change and the timeout of a poll fell into the same iteration of the event loop, with the change first, the poll's greenlet got the timeout before the event that wakes it. The response then had the version of the change without its row. A gateway resumes from that version, so it never learnt of the change: a lost update, not a late one.

Fix: the rows and the version are read together after the wait, whichever way it ended.

--- a/bronzemux/platform/standin_store.py
+++ b/bronzemux/platform/standin_store.py
@@ -173,22 +173,21 @@
     def _feed(self, query: dict):
         after, table = int(query["after"]), query["table"]
         wait = int(query.get("wait_ms", 0)) / 1000
-        timeout = gevent.Timeout(wait)
-        timeout.start()
-        try:
-            while True:
-                if not self.history_start <= after <= self.version:
-                    return 410, {}
-                changes = [c for c in self.history if c.table == table and c.version > after]
-                if changes:
-                    break
+        with gevent.Timeout(wait, False):
+            while self._has_history(after) and not self._changes(table, after):
                 self.changed.wait()
-        except gevent.Timeout:
-            changes = []
-        finally:
-            timeout.close()
+        # A change may precede the timeout in the same iteration of the event loop.
+        if not self._has_history(after):
+            return 410, {}
+        changes = self._changes(table, after)
         return 200, {"rows": [_document(c) for c in changes], "row_version": self.version}
 
+    def _has_history(self, after: int) -> bool:
+        return self.history_start <= after <= self.version
+
+    def _changes(self, table: str, after: int) -> list[Change]:
+        return [c for c in self.history if c.table == table and c.version > after]
+
     def _transact(self, body: dict):
         if self.fault is Fault.LATE_WRITE:
             gevent.spawn_later(self.late_write_seconds, self._commit, body)
--- a/features/gateway_platform.feature
+++ b/features/gateway_platform.feature
@@ -53,6 +53,12 @@
     When the endpoint "app-1" registers the state "draining" in the store
     Then the gateway detects within 3.3 seconds that "app-1" is draining
 
+  # Guards against a stand-in that skips a change: its scenarios then wait for what nobody is told.
+  Scenario: A change at the moment at which a long poll times out reaches who follows the table
+    Given a long poll of the endpoint table for 0.2 seconds
+    When the endpoint "app-3" registers in the instant before the poll times out
+    Then the poll or the one after it returns the entry of "app-3"
+
   Scenario: The directory lists the routers that are ready
     Given another gateway
     Then the directory of each gateway lists both routers
--- a/features/steps/gateway_platform_steps.py
+++ b/features/steps/gateway_platform_steps.py
@@ -8,12 +8,15 @@
 
 import gevent
 from behave import given, then, when
+from gevent import monkey
 
 from bronzemux import clock, errors, lease, logs, store_version
 from bronzemux.gateway import admission, channels
 from bronzemux.platform import boot, fields, standin_store, store
 from features import gateway_support
 
+# Blocks the event loop too, unlike `time.sleep`, which gevent replaces.
+BLOCK = monkey.get_original("time", "sleep")
 LEASE_KEY = "lease/test"
 LATE_ROUTE = gateway_support.route("late", "safe", "app")
 SETTINGS = {
@@ -361,3 +364,31 @@
 def step_detects_draining(context, seconds, name):
     states = context.site.gateways[0].endpoints.states
     gateway_support.wait_for(lambda: states[name].endpoint.is_draining, seconds)
+
+
+@given("a long poll of the endpoint table for {seconds:g} seconds")
+def step_long_poll(context, seconds):
+    context.polled = standin_store.StandInStore()
+    context.polled.start()
+    context.cleanups.append(context.polled.stop)
+    context.source = store.StoreRows(context.polled.address, seconds, store.StoreEra())
+    version = context.source.read("servers").version
+    context.poll_seconds = seconds
+    context.poll = gevent.spawn(context.source.changes, "servers", version)
+    gateway_support.wait_for(lambda: "/-/rows-feed" in context.polled.calls)
+
+
+@when('the endpoint "{name}" registers in the instant before the poll times out')
+def step_register_at_timeout(context, name):
+    # Both timers are then due when the event loop continues, that of this step first.
+    gevent.spawn(BLOCK, 1.5 * context.poll_seconds)
+    gevent.sleep(context.poll_seconds / 2)
+    context.polled.put("servers", name, {})
+
+
+@then('the poll or the one after it returns the entry of "{name}"')
+def step_poll_returns(context, name):
+    batch = context.poll.get()
+    if not batch.rows:
+        batch = context.source.changes("servers", batch.version)
+    assert [row.key for row in batch.rows] == [name], batch
