Keep the load slot of an order that is no longer wanted until it has ended

A fault of the product: operators who start or stop a rollout, or set an adapter, while another load is in progress got more loads on the weight store than configured.

Cause: a router took an order for executed when the next order of the endpoint differed from it. That is also so when the configuration has changed while the endpoint is still loading. The order was then logged as endpoint_updated, its load slot was released, and the next order took the slot.

Fix: an order is executed when the endpoint reports what the order names (orders.is_executed). One that is no longer wanted keeps its slot until then, and at most for the time within which every order must be reported; its end then halts nothing, as it says nothing about the rollout that is in force.

--- a/bronzemux/orders.py
+++ b/bronzemux/orders.py
@@ -36,3 +36,18 @@
     if is_first and endpoint.role and state.role not in ("", endpoint.role):
         return engine.Order(model.name, "", 0, role=endpoint.role)
     return None
+
+
+def is_executed(order: engine.Order, state: fleet.EndpointState) -> bool:
+    """Return whether an endpoint reports what an order names.
+
+    Args:
+      order: The order.
+      state: State that the endpoint reported.
+    """
+    if order.weights_version:
+        return state.weights.get(order.model) == order.weights_version
+    if order.adapter:
+        name, _, version = order.adapter.partition("@")
+        return (state.adapters or {}).get(engine.adapter_key(order.model, name)) == version
+    return state.role == order.role
--- a/bronzemux/rollout.py
+++ b/bronzemux/rollout.py
@@ -306,18 +306,25 @@
     def _check_active_orders(self, model: config.Model) -> None:
         """End the orders that endpoints report as executed, and halt the rollout on a late one.
 
+        An order that is no longer wanted, because the configuration has changed, is still being
+        executed and keeps its load slot until then. A late one of these halts nothing.
+
         Also renews the leases of the load slots.
         """
         for (name, endpoint), active in list(self.active_orders.items()):
             if name != model.name:
                 continue
             active.load_slot.acquire_or_renew()
-            if self._next_order(model, active.endpoint) != active.order:
+            state = self.dispatcher.fleet.states.get(endpoint)
+            if state is not None and orders.is_executed(active.order, state):
                 logs.event("endpoint_updated", model=name, endpoint=endpoint)
                 self._end_order(name, active)
             elif self.clock.monotonic() - active.started_at > self.settings.report_timeout_seconds:
                 self._end_order(name, active)
-                self._halt(model, f"{endpoint} did not report what was ordered in time")
+                if self._next_order(model, active.endpoint) == active.order:
+                    self._halt(model, f"{endpoint} did not report what was ordered in time")
+                else:
+                    logs.event("order_abandoned", "warning", model=name, endpoint=endpoint)
 
     def _end_order(self, model: str, active: ActiveOrder) -> None:
         self.active_orders.pop((model, active.endpoint.name), None)
--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -56,6 +56,42 @@
     Then the rollout of "statute-7b" is paused by "rollout"
     And model "statute-7b" still has version "2026-11" in force
 
+  # Guards against a load beyond the limit: an order whose result is no longer wanted is still executed.
+  Scenario Outline: An order in progress keeps its load slot when something else is configured
+    Given a rollout task for the 5 engines of a data centre
+    When <first>
+    And the rollout task runs for 1 seconds
+    Then 2 engines are executing orders
+    When <second>
+    And the rollout task runs for 10 seconds
+    Then 2 engines are executing orders
+    When the engines report what they loaded
+    And the rollout task runs for 1 seconds
+    Then 2 engines are executing orders
+    And the engines get orders until all have version "<version>"
+    And at no time were more than 2 orders being executed
+
+    Examples:
+      | first                                      | second                                     | version |
+      | adapter "plain" is configured in version "1" | a rollout of version "2026-12" is started | 2026-12 |
+      | adapter "plain" is configured in version "1" | adapter "plain" is configured in version "2" | 2026-11 |
+      | a rollout of version "2026-12" is started  | a rollout of version "2026-13" is started  | 2026-13 |
+      | a rollout of version "2026-12" is started  | the rollout is stopped                     | 2026-11 |
+      | a rollout of version "2026-12" is started  | the rollout is stopped and adapter "plain" is configured in version "1" | 2026-11 |
+
+  # Guards against a lasting loss of a load slot, and against a halt of the rollout that followed.
+  Scenario: An order that is no longer wanted and never reported ends without a halt of the rollout
+    Given a rollout task for the 5 engines of a data centre
+    When a rollout of version "2026-12" is started
+    And the rollout task runs for 1 seconds
+    Then 2 engines are executing orders
+    When a rollout of version "2026-13" is started
+    And the engines lose what they were loading
+    And the rollout task runs for 32 seconds
+    Then 2 engines are executing orders
+    And the rollout is not paused
+    And the engines get orders until all have version "2026-13"
+
   Scenario: An engine that checks fencing tokens refuses an old one
     Given a development deployment "centre"
     When engine "worker-1" gets orders with fencing tokens 5 then 4
