Pause the holder of a rollout lease during an order of the rollout, not an earlier one

A fault of the test's reading, not of the product; the released lease protected nothing.

Cause: the step waited for any order at the data centre, and the routers load the adapters of the example configuration before the rollout starts. Where the start of four processes took long, as beside load, the adapters were loaded and the lease properly released before the rollout; the step took the orders of the adapters for the first order of the rollout, and read a row without a holder. Elsewhere it paused the holder during, or after, an order of an adapter.

The step now waits for an order of the rollout's version. That is stricter: the process is always paused during an order of the rollout itself.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -57,7 +57,7 @@
     Given stand-ins of "centre" and 4 router processes
     And engines take 2 seconds to load weights
     When operator "nino" runs "rollout start statute-7b 2026-12 --yes" at process 1
-    And the process that holds the rollout lease of "tbilisi-2" is paused during its first order
+    And the process that holds the rollout lease of "tbilisi-2" is paused during its first order of version "2026-12"
     Then another process acquires the rollout lease of "tbilisi-2"
     And every engine has version "2026-12" and it is in force
     When the paused process resumes
--- a/features/steps/paused_steps.py
+++ b/features/steps/paused_steps.py
@@ -33,17 +33,21 @@
 
 @when(
     'the process that holds the rollout lease of "{data_centre}" is paused during its first order'
+    ' of version "{version}"'
 )
-def step_pause_lease_holder(context, data_centre):
+def step_pause_lease_holder(context, data_centre, version):
     assert context.status == 0, context.output
     engines = [
         context.deployment.engines[endpoint.name]
         for endpoint in context.deployment.document.endpoints
         if endpoint.data_centre == data_centre and endpoint.kind == "model"
     ]
-    streams_steps.wait_for(
-        lambda: any(engine.orders for engine in engines), ROLLOUT_TIMEOUT_SECONDS
-    )
+
+    def is_ordered() -> bool:
+        # Other orders, of the adapters, precede the rollout, and may have ended before it starts.
+        return any(order.weights_version == version for e in engines for order in e.orders)
+
+    streams_steps.wait_for(is_ordered, ROLLOUT_TIMEOUT_SECONDS)
     pause(context, lease_holder(context, data_centre))
 
 
