Check the age of an order once more immediately before it is sent

Callers could not see it, but an engine that checks no fencing tokens accepted an order of a router that resumed after its rollout lease had expired.

Cause: the lease is checked before the connection is opened. The paused router had logged order_given for worker-3 and worker-4, 3 ms apart; it was paused when the first one arrived, while it connected for the second. 21 s later it resumed and sent it, long after another router had taken over the lease and ordered the same. Such an order may be of a version that was given up in the meantime.

Fix: the order is checked again when the connection is established, immediately before it is sent, and dropped when it was delayed by more than half of the time that the check of the lease leaves for it. What remains is a pause between this check and the system call that sends; only fencing tokens protect from that.

The new scenarios failed before: one with the order at worker-1, the other as nothing could be checked after the connection. Both pass now.

--- a/bronzemux/engine.py
+++ b/bronzemux/engine.py
@@ -1,7 +1,7 @@
 """Interface to model engines."""
 
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from bronzemux import fleet
 
@@ -206,9 +206,14 @@
         """
         raise NotImplementedError
 
-    def order(self, order: Order) -> None:
+    def order(self, order: Order, check: Callable[[], None] = lambda: None) -> None:
         """Send an order to the engine.
 
+        Args:
+          order: The order.
+          check: Called once the connection is established, immediately before the order is sent; an
+            error that it raises prevents that.
+
         Raises:
           errors.EndpointRefusedError: When the fencing token is outdated.
           errors.EndpointError: When the engine does not respond or rejects the order.
--- a/bronzemux/engine_http.py
+++ b/bronzemux/engine_http.py
@@ -3,7 +3,7 @@
 import itertools
 import json
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from bronzemux import engine, errors, fleet, http_client, plain_values
 
@@ -81,7 +81,7 @@
         response = self._exchange("GET", f"/state?after={after}")
         return decode_state(self.name, response.body)
 
-    def order(self, order: engine.Order) -> None:
+    def order(self, order: engine.Order, check: Callable[[], None] = lambda: None) -> None:
         """Send an order to the engine."""
         body = {
             "model": order.model,
@@ -90,11 +90,14 @@
             "adapter": order.adapter,
             "role": order.role,
         }
-        self._exchange("POST", "/orders", json.dumps(body).encode())
+        self._exchange("POST", "/orders", json.dumps(body).encode(), check)
 
-    def _exchange(self, method: str, path: str, body: bytes = b"") -> http_client.Response:
+    def _exchange(
+        self, method: str, path: str, body: bytes = b"", check: Callable[[], None] = lambda: None
+    ) -> http_client.Response:
         connection = http_client.Connection(self.host, self.port, self.timeouts)
         try:
+            check()
             connection.send(method, path, {}, body)
             raw = connection.receive(method)
             response = http_client.Response(
--- a/bronzemux/rollout.py
+++ b/bronzemux/rollout.py
@@ -23,6 +23,8 @@
 
 TICK_SECONDS = 0.5
 MAX_ORDER_SECONDS = 4.0
+# Part of that within which an order must be sent. It takes longer when the process was paused.
+MAX_SEND_SECONDS = 2.0
 REPORT_TIMEOUT_SECONDS = 30.0
 MAX_ORDER_ATTEMPTS = 3
 OPERATOR_NAME = "rollout"
@@ -286,6 +288,7 @@
     ) -> None:
         order = dataclasses.replace(unfenced_order, fencing_token=model_lease.token)
         error = None
+        checked_at = self.clock.monotonic()
         try:
             if not model_lease.is_held(MAX_ORDER_SECONDS):
                 raise errors.EndpointRefusedError("the lease expired", "its next holder continues")
@@ -298,11 +301,22 @@
                 endpoint=endpoint.name,
                 fencing_token=order.fencing_token,
             )
-            self.engine_of(endpoint).order(order)
+            self.engine_of(endpoint).order(order, lambda: self._check_delay(checked_at))
         except errors.EndpointError as failure:
             error = failure
         self.send(OrderEnded(order.model, endpoint.name, error))
 
+    def _check_delay(self, checked_at: float) -> None:
+        """Refuse to send an order that was delayed since its lease was checked.
+
+        Raises:
+          errors.EndpointRefusedError: When another router may hold the lease by now.
+        """
+        if self.clock.monotonic() - checked_at > MAX_SEND_SECONDS:
+            raise errors.EndpointRefusedError(
+                "the order was delayed before it was sent", "the holder of the lease gives it again"
+            )
+
     def _check_active_orders(self, model: config.Model) -> None:
         """End the orders that endpoints report as executed, and halt the rollout on a late one.
 
--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -92,6 +92,21 @@
     And the rollout is not paused
     And the engines get orders until all have version "2026-13"
 
+  # Guards against a stale order at an engine that checks no fencing tokens.
+  Scenario: An order is not sent after a pause between the check of its lease and its sending
+    Given a rollout task for the 5 engines of a data centre
+    When a rollout of version "2026-12" is started
+    And the process is paused for 20 seconds while it connects to the engines
+    Then 0 engines are executing orders
+    When the rollout task runs for 15 seconds
+    Then 2 engines are executing orders
+    And the rollout is not paused
+
+  # Guards against a check that precedes the connection, in which most of the time passes.
+  Scenario: An order is checked again once its connection is established, before anything is sent
+    When an order is checked and rejected at a connection to an engine
+    Then the engine was connected and got no order
+
   Scenario: An engine that checks fencing tokens refuses an old one
     Given a development deployment "centre"
     When engine "worker-1" gets orders with fencing tokens 5 then 4
--- a/features/steps/rollout_task_steps.py
+++ b/features/steps/rollout_task_steps.py
@@ -1,6 +1,8 @@
-"""Steps of rollout.feature that drive one rollout task on a fake clock, without sockets."""
+"""Steps of rollout.feature that drive one rollout task on a fake clock."""
 
+import socket
 import types
+from collections.abc import Callable
 
 import gevent
 from behave import given, then, when
@@ -11,7 +13,10 @@
     config_edit,
     config_store,
     engine,
+    engine_http,
+    errors,
     fleet,
+    http_client,
     messages,
     rollout,
     snapshot,
@@ -31,14 +36,22 @@
 
     Args:
       state: State of the endpoint as the router sees it.
+      clock: Source of time.
+
+    Attributes:
+      connect_seconds: Time until an order can be sent.
     """
 
-    def __init__(self, state: fleet.EndpointState):
+    def __init__(self, state: fleet.EndpointState, clock: clock.FakeClock):
         self.state = state
+        self.clock = clock
+        self.connect_seconds = 0.0
         self.executing: list[engine.Order] = []
 
-    def order(self, order: engine.Order) -> None:
+    def order(self, order: engine.Order, check: Callable[[], None] = lambda: None) -> None:
         """Accept an order."""
+        self.clock.advance(self.connect_seconds)
+        check()
         self.executing.append(order)
 
     def finish(self) -> None:
@@ -72,12 +85,19 @@
     tell(context)
 
 
+def tick(context) -> None:
+    """Let the task tick, send its orders and handle their outcomes."""
+    context.task.tick()
+    gevent.sleep(0)
+    while not context.task.mailbox.empty():
+        context.task.handle(context.task.mailbox.get())
+
+
 def run_task(context, seconds: float) -> None:
     """Let the task tick for some seconds, in which no engine reports anything new."""
     for _ in range(round(seconds / TICK_SECONDS)):
         context.clock.advance(TICK_SECONDS)
-        context.task.tick()
-        gevent.sleep(0)
+        tick(context)
         count = sum(len(item.executing) for item in context.recording.values())
         context.most_executing = max(context.most_executing, count)
 
@@ -97,8 +117,10 @@
         )
         for item in engines
     }
-    context.recording = {name: RecordingEngine(state) for name, state in states.items()}
     context.clock, context.service = clock.FakeClock(), table.MemoryTable()
+    context.recording = {
+        name: RecordingEngine(state, context.clock) for name, state in states.items()
+    }
     context.most_executing = 0
     dispatcher = types.SimpleNamespace(fleet=types.SimpleNamespace(states=states))
     context.task = rollout.RolloutTask(
@@ -173,3 +195,35 @@
 @then("the rollout is not paused")
 def step_not_paused(context):
     assert not stored(context).read().document().models[0].is_rollout_paused
+
+
+@when("the process is paused for {seconds:g} seconds while it connects to the engines")
+def step_pause_at_connect(context, seconds):
+    for item in context.recording.values():
+        item.connect_seconds = seconds
+    tick(context)
+    for item in context.recording.values():
+        item.connect_seconds = 0.0
+
+
+@when("an order is checked and rejected at a connection to an engine")
+def step_reject_at_connection(context):
+    def reject() -> None:
+        context.is_connected = bool(listener.accept())
+        raise errors.EndpointRefusedError("delayed", "none")
+
+    timeouts = http_client.Timeouts(connect=1.0, progress=1.0)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(1.0)
+        client = engine_http.HttpEngine("e", *listener.getsockname(), timeouts)
+        context.error = None
+        try:
+            client.order(engine.Order(MODEL, "2026-12", 1), reject)
+        except errors.EndpointRefusedError as error:
+            context.error = error
+
+
+@then("the engine was connected and got no order")
+def step_no_order(context):
+    assert context.is_connected
+    assert context.error is not None
