End or halt a rollout only in the configuration that was checked

What callers would see: with unlucky timing, all requests for a model fail. The end of one rollout could put the version of the next one in force although no engine has it, and a halt could pause a rollout that had just been started.

Cause: the task read the configuration, compared the entry of the model, and then let porcelain.edit_config read it again and edit that. A change in between was not noticed. After a change that had ended the rollout the edit set an empty version, which the check of the document rejected; after the start of another one it was valid.

Fix: the edit is applied to the configuration that was compared, so that the store rejects it after any other change (ConfigConflictError, which the task handles by looking again at its next tick).

The new scenario, which starts 2026-13 between the read and the edit, failed before: weights_version='2026-13', which no engine had. It passes now.

--- a/bronzemux/rollout.py
+++ b/bronzemux/rollout.py
@@ -16,7 +16,6 @@
     logs,
     messages,
     orders,
-    porcelain,
     supervisor,
     table,
 )
@@ -367,7 +366,13 @@
         self._edit_config(model, config_edit.pause_rollout(model.name, True), summary)
 
     def _edit_config(self, model: config.Model, edit: config_edit.Edit, summary: str) -> None:
+        """Edit the configuration if its entry of the model is still the given one.
+
+        Raises:
+          errors.ConfigConflictError: When another change was accepted since it was read.
+        """
         head = self.store.read()
         current = next(m for m in head.document().models if m.name == model.name)
         if current == model:
-            porcelain.edit_config(self.store, edit, OPERATOR_NAME, summary)
+            text = config_edit.apply(head.text, edit)
+            self.store.apply(config_store.Change(head.version, text, OPERATOR_NAME, summary))
--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -92,6 +92,15 @@
     And the rollout is not paused
     And the engines get orders until all have version "2026-13"
 
+  # Guards against the end of a rollout that puts a version in force that no engine has.
+  Scenario: The end of a rollout leaves one alone that was started at the same time
+    Given a rollout task for the 5 engines of a data centre
+    When a rollout of version "2026-12" is started
+    And a rollout of version "2026-13" will start just after the task reads the configuration
+    And the engines execute orders until all have version "2026-12"
+    And the rollout task runs for 1 seconds
+    Then version "2026-11" is in force and "2026-13" is being rolled out
+
   # Guards against a stale order at an engine that checks no fencing tokens.
   Scenario: An order is not sent after a pause between the check of its lease and its sending
     Given a rollout task for the 5 engines of a data centre
--- a/features/steps/rollout_task_steps.py
+++ b/features/steps/rollout_task_steps.py
@@ -29,6 +29,7 @@
 DATA_CENTRE = "tbilisi-1"
 VERSION_IN_FORCE = "2026-11"
 TICK_SECONDS = rollout.TICK_SECONDS
+ROLLOUT_SECONDS = 20.0
 
 
 class RecordingEngine:
@@ -192,6 +193,15 @@
     assert {state.weights[MODEL] for state in states} == {version}, states
 
 
+@when('the engines execute orders until all have version "{version}"')
+def step_execute_until_all(context, version):
+    engines = context.recording.values()
+    while {item.state.weights[MODEL] for item in engines} != {version}:
+        run_task(context, 1.0)
+        step_report(context)
+        assert context.clock.monotonic() < ROLLOUT_SECONDS, "not all engines got their orders"
+
+
 @then("the rollout is not paused")
 def step_not_paused(context):
     assert not stored(context).read().document().models[0].is_rollout_paused
@@ -227,3 +237,22 @@
 def step_no_order(context):
     assert context.is_connected
     assert context.error is not None
+
+
+@when('a rollout of version "{version}" will start just after the task reads the configuration')
+def step_start_after_read(context, version):
+    read = context.task.store.read
+
+    def read_then_start():
+        context.task.store.read = read
+        head = read()
+        step_start_rollout(context, version)
+        return head
+
+    context.task.store.read = read_then_start
+
+
+@then('version "{version}" is in force and "{next_version}" is being rolled out')
+def step_in_force(context, version, next_version):
+    found = stored(context).read().document().models[0]
+    assert (found.weights_version, found.next_weights_version) == (version, next_version), found
