Start a gateway by a script that ignores SIGHUP before it imports anything

Cause: until the process ignores the signal, the default action ends it. The deploy file started `python3 -m bronzemux.cli_gateway`. Before the first statement of that module the interpreter searches for packages (site, with the .pth files that it finds), imports runpy and importlib for `-m`, and then enum for `signal`.

Fix: `python3 -S bronzemux/cli_launcher.py`. The script imports nothing until it ignores the signal; `_signal` is built into the interpreter and loaded by it anyway. The soak starts its gateways in the same way.

--- a/features/soak.py
+++ b/features/soak.py
@@ -24,6 +24,7 @@
 import signal
 import socket
 import sys
+import sysconfig
 import tempfile
 import time
 
@@ -39,6 +40,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SEEDS_PATH = pathlib.Path(__file__).resolve().parent / "soak_seeds.txt"
 GATEWAY_MODULE = "bronzemux.cli_gateway"
+# How the deploy file starts a gateway.
+LAUNCHER_ARGUMENTS = ("-S", "bronzemux/cli_launcher.py")
 GATEWAY_COUNT = 3
 CALLER_COUNT = 12
 # Each seed has fixed ports of its own for the gateway processes: if free ports were looked up,
@@ -198,6 +201,11 @@
         return super()._accept_order(order)
 
 
+def environment() -> dict[str, str]:
+    """Return the environment of a gateway; it names the packages, for which `-S` does not search."""
+    return os.environ | {"PYTHONPATH": sysconfig.get_path("purelib")}
+
+
 class GatewayProcess:
     """A gateway process whose connections to the store and from its peers pass through proxies.
 
@@ -256,17 +264,17 @@
         """Start the process, unless the run has ended."""
         if self.is_closed:
             return
-        environment = os.environ | {boot.PATH_VARIABLE: str(self.settings_path)}
+        is_launched = self.module == GATEWAY_MODULE
+        arguments = LAUNCHER_ARGUMENTS if is_launched else ("-m", self.module)
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.child = subprocess.Popen(
                 [
                     sys.executable,
-                    "-m",
-                    self.module,
+                    *arguments,
                     f"--advertised_peer_address={self.peer_proxy.address}",
                 ],
                 cwd=ROOT,
-                env=environment,
+                env=environment() | {boot.PATH_VARIABLE: str(self.settings_path)},
                 stdout=log,
                 stderr=log,
             )
--- a/features/startup.feature
+++ b/features/startup.feature
@@ -17,3 +17,10 @@
       | bronzemux.vms        |
       | bronzemux.membership |
       | bronzemux.dispatcher |
+
+  # Guards against a SIGHUP that ends a gateway while packages and modules are still being searched.
+  Scenario: Until it ignores SIGHUP, the start of a gateway is that of the interpreter alone
+    Given the command of the deploy file that starts a gateway
+    Then it runs a script, without a search for packages or for a module
+    When its script runs to the end of its imports
+    Then it imported no module before it ignored SIGHUP
