--- a/bronzemux/rollout.py
+++ b/bronzemux/rollout.py
@@ -16,13 +16,14 @@
     logs,
     messages,
     orders,
-    porcelain,
     supervisor,
     table,
 )
 
 TICK_SECONDS = 0.5
 MAX_ORDER_SECONDS = 4.0
+# Part of that within which an order must be sent. It takes longer when the process was paused.
+MAX_SEND_SECONDS = 2.0
 REPORT_TIMEOUT_SECONDS = 30.0
 MAX_ORDER_ATTEMPTS = 3
 OPERATOR_NAME = "rollout"
@@ -286,6 +287,7 @@
     ) -> None:
         order = dataclasses.replace(unfenced_order, fencing_token=model_lease.token)
         error = None
+        checked_at = self.clock.monotonic()
         try:
             if not model_lease.is_held(MAX_ORDER_SECONDS):
                 raise errors.EndpointRefusedError("the lease expired", "its next holder continues")
@@ -298,26 +300,44 @@
                 endpoint=endpoint.name,
                 fencing_token=order.fencing_token,
             )
-            self.engine_of(endpoint).order(order)
+            self.engine_of(endpoint).order(order, lambda: self._check_delay(checked_at))
         except errors.EndpointError as failure:
             error = failure
         self.send(OrderEnded(order.model, endpoint.name, error))
 
+    def _check_delay(self, checked_at: float) -> None:
+        """Refuse to send an order that was delayed since its lease was checked.
+
+        Raises:
+          errors.EndpointRefusedError: When another router may hold the lease by now.
+        """
+        if self.clock.monotonic() - checked_at > MAX_SEND_SECONDS:
+            raise errors.EndpointRefusedError(
+                "the order was delayed before it was sent", "the holder of the lease gives it again"
+            )
+
     def _check_active_orders(self, model: config.Model) -> None:
         """End the orders that endpoints report as executed, and halt the rollout on a late one.
 
+        An order that is no longer wanted, because the configuration has changed, is still being
+        executed and keeps its load slot until then. A late one of these halts nothing.
+
         Also renews the leases of the load slots.
         """
         for (name, endpoint), active in list(self.active_orders.items()):
             if name != model.name:
                 continue
             active.load_slot.acquire_or_renew()
-            if self._next_order(model, active.endpoint) != active.order:
+            state = self.dispatcher.fleet.states.get(endpoint)
+            if state is not None and orders.is_executed(active.order, state):
                 logs.event("endpoint_updated", model=name, endpoint=endpoint)
                 self._end_order(name, active)
             elif self.clock.monotonic() - active.started_at > self.settings.report_timeout_seconds:
                 self._end_order(name, active)
-                self._halt(model, f"{endpoint} did not report what was ordered in time")
+                if self._next_order(model, active.endpoint) == active.order:
+                    self._halt(model, f"{endpoint} did not report what was ordered in time")
+                else:
+                    logs.event("order_abandoned", "warning", model=name, endpoint=endpoint)
 
     def _end_order(self, model: str, active: ActiveOrder) -> None:
         self.active_orders.pop((model, active.endpoint.name), None)
@@ -346,7 +366,13 @@
         self._edit_config(model, config_edit.pause_rollout(model.name, True), summary)
 
     def _edit_config(self, model: config.Model, edit: config_edit.Edit, summary: str) -> None:
+        """Edit the configuration if its entry of the model is still the given one.
+
+        Raises:
+          errors.ConfigConflictError: When another change was accepted since it was read.
+        """
         head = self.store.read()
         current = next(m for m in head.document().models if m.name == model.name)
         if current == model:
-            porcelain.edit_config(self.store, edit, OPERATOR_NAME, summary)
+            text = config_edit.apply(head.text, edit)
+            self.store.apply(config_store.Change(head.version, text, OPERATOR_NAME, summary))
--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -56,6 +56,66 @@
     Then the rollout of "statute-7b" is paused by "rollout"
     And model "statute-7b" still has version "2026-11" in force
 
+  # Guards against a load beyond the limit: an order whose result is no longer wanted is still executed.
+  Scenario Outline: An order in progress keeps its load slot when something else is configured
+    Given a rollout task for the 5 engines of a data centre
+    When <first>
+    And the rollout task runs for 1 seconds
+    Then 2 engines are executing orders
+    When <second>
+    And the rollout task runs for 10 seconds
+    Then 2 engines are executing orders
+    When the engines report what they loaded
+    And the rollout task runs for 1 seconds
+    Then 2 engines are executing orders
+    And the engines get orders until all have version "<version>"
+    And at no time were more than 2 orders being executed
+
+    Examples:
+      | first                                      | second                                     | version |
+      | adapter "plain" is configured in version "1" | a rollout of version "2026-12" is started | 2026-12 |
+      | adapter "plain" is configured in version "1" | adapter "plain" is configured in version "2" | 2026-11 |
+      | a rollout of version "2026-12" is started  | a rollout of version "2026-13" is started  | 2026-13 |
+      | a rollout of version "2026-12" is started  | the rollout is stopped                     | 2026-11 |
+      | a rollout of version "2026-12" is started  | the rollout is stopped and adapter "plain" is configured in version "1" | 2026-11 |
+
+  # Guards against a lasting loss of a load slot, and against a halt of the rollout that followed.
+  Scenario: An order that is no longer wanted and never reported ends without a halt of the rollout
+    Given a rollout task for the 5 engines of a data centre
+    When a rollout of version "2026-12" is started
+    And the rollout task runs for 1 seconds
+    Then 2 engines are executing orders
+    When a rollout of version "2026-13" is started
+    And the engines lose what they were loading
+    And the rollout task runs for 32 seconds
+    Then 2 engines are executing orders
+    And the rollout is not paused
+    And the engines get orders until all have version "2026-13"
+
+  # Guards against the end of a rollout that puts a version in force that no engine has.
+  Scenario: The end of a rollout leaves one alone that was started at the same time
+    Given a rollout task for the 5 engines of a data centre
+    When a rollout of version "2026-12" is started
+    And a rollout of version "2026-13" will start just after the task reads the configuration
+    And the engines execute orders until all have version "2026-12"
+    And the rollout task runs for 1 seconds
+    Then version "2026-11" is in force and "2026-13" is being rolled out
+
+  # Guards against a stale order at an engine that checks no fencing tokens.
+  Scenario: An order is not sent after a pause between the check of its lease and its sending
+    Given a rollout task for the 5 engines of a data centre
+    When a rollout of version "2026-12" is started
+    And the process is paused for 20 seconds while it connects to the engines
+    Then 0 engines are executing orders
+    When the rollout task runs for 15 seconds
+    Then 2 engines are executing orders
+    And the rollout is not paused
+
+  # Guards against a check that precedes the connection, in which most of the time passes.
+  Scenario: An order is checked again once its connection is established, before anything is sent
+    When an order is checked and rejected at a connection to an engine
+    Then the engine was connected and got no order
+
   Scenario: An engine that checks fencing tokens refuses an old one
     Given a development deployment "centre"
     When engine "worker-1" gets orders with fencing tokens 5 then 4
