Read the software version that an engine states, and let the stand-ins state one

An engine may state the version of its software in its state (software) and in each stream response (X-Engine-Software). The routers record it for each incarnation and print it in the status of the endpoints; nothing is decided with it yet.

The words of a stand-in engine now depend on the software it runs, so that a joined text is seen from the caller's side; without a version they are as before. The decoders' fuzz test includes the new field.

--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -205,7 +205,13 @@
         self.fleet.update_load(message.state.load, now)
         engine_state = message.state
         adapters = None if engine_state.adapters is None else dict(engine_state.adapters)
-        self.fleet.update_loaded(name, dict(engine_state.weights), adapters, engine_state.role)
+        self.fleet.update_loaded(
+            name,
+            dict(engine_state.weights),
+            adapters,
+            engine_state.role,
+            engine_state.software,
+        )
         if message.has_gap:
             self.meters.event_gaps.inc()
             self.fleet.discount_confidence(name)
@@ -281,6 +287,7 @@
             rate=state.rate,
             incarnation=state.incarnation,
             weights=dict(state.weights),
+            software=state.software or "",
         )
 
     def tick(self) -> None:
--- a/bronzemux/engine.py
+++ b/bronzemux/engine.py
@@ -103,6 +103,7 @@
       adapters: Pairs of `adapter_key` and loaded version, None when the engine does not report
         adapters.
       role: Role of the engine, empty when it does not report one.
+      software: Version of the engine's software, empty when it does not report one.
     """
 
     load: fleet.LoadReport
@@ -110,6 +111,7 @@
     weights: tuple[tuple[str, str], ...] = ()
     adapters: tuple[tuple[str, str], ...] | None = None
     role: str = ""
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -146,9 +148,11 @@
 
     Attributes:
       incarnation: Incarnation of the engine that runs the request.
+      software: Version of this engine's software, empty when the response does not state one.
     """
 
     incarnation: str
+    software: str = ""
 
     def __iter__(self) -> Iterator[Part]:
         """Iterate over the parts up to and including `DONE`.
--- a/bronzemux/engine_http.py
+++ b/bronzemux/engine_http.py
@@ -9,6 +9,7 @@
 
 HEADER_REQUEST = "X-Request-Id"
 HEADER_INCARNATION = "X-Engine-Incarnation"
+HEADER_SOFTWARE = "X-Engine-Software"
 HEADER_OUTCOME = "X-Outcome"
 HEADER_SALT = "X-Cache-Salt"
 HEADER_WEIGHTS = "X-Weights-Version"
@@ -120,7 +121,8 @@
                     "the response is dropped",
                 )
             incarnation = response.get(HEADER_INCARNATION, "")
-            return HttpResponseStream(self, connection, incarnation, offset)
+            software = response.get(HEADER_SOFTWARE, "")
+            return HttpResponseStream(self, connection, incarnation, offset, software)
         except BaseException:
             connection.close()
             raise
@@ -149,12 +151,14 @@
       connection: Connection from which the headers of the response were already read.
       incarnation: Incarnation of the engine.
       offset: Number of the first part to return; earlier ones are skipped.
+      software: Version of the engine's software, or empty.
     """
 
-    def __init__(self, owner, connection, incarnation: str, offset: int):
+    def __init__(self, owner, connection, incarnation: str, offset: int, software: str = ""):
         self.owner = owner
         self.connection = connection
         self.incarnation = incarnation
+        self.software = software
         self.offset = offset
 
     def __iter__(self) -> Iterator[engine.Part]:
@@ -264,12 +268,13 @@
         weights = _pairs(raw.get("weights", {}))
         adapters = _pairs(raw["adapters"]) if "adapters" in raw else None
         role = plain_values.name(raw.get("role", ""))
+        software = _label(raw.get("software", ""))
     except plain_values.CHECK_ERRORS as error:
         raise errors.EndpointProtocolError(
             f"{name} reported a malformed state: {plain_values.cause(error)}",
             "check the engine's version",
         ) from error
-    return engine.EngineState(load, events, weights, adapters, role)
+    return engine.EngineState(load, events, weights, adapters, role, software)
 
 
 def _label(value) -> str:
--- a/bronzemux/fake_engine.py
+++ b/bronzemux/fake_engine.py
@@ -41,6 +41,7 @@
 
     Attributes:
       slowness: Factor on the times to prefill and to decode.
+      software: Version of its software, empty to state none.
       waiting: Heap of the jobs that wait for their prefill as priority, tie-breaker and job.
       active: Jobs that have neither completed nor failed, waiting ones included.
       generation: Number of resets; scheduled calls of an earlier generation have no effect.
@@ -51,6 +52,7 @@
         self.piece_tokens = piece_tokens
         self.replay = replay
         self.slowness = 1.0
+        self.software = ""
         self.is_up = True
         self.restarts = 0
         self.reset()
@@ -179,4 +181,4 @@
             stored=tuple(key for key, is_stored in events if is_stored),
             evicted=tuple(key for key, is_stored in events if not is_stored),
         )
-        return engine.EngineState(load, batch)
+        return engine.EngineState(load, batch, software=self.software)
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -75,6 +75,8 @@
       weights: Loaded weights version by model.
       adapters: Loaded adapter version by `engine.adapter_key`, None if not reported.
       role: Role of the engine, empty if not reported.
+      software: Version of this incarnation's software, empty if it states none, None before its
+        first report.
     """
 
     endpoint: config.Endpoint
@@ -97,6 +99,7 @@
     weights: dict[str, str] = dataclasses.field(default_factory=dict)
     adapters: dict[str, str] | None = None
     role: str = ""
+    software: str | None = None
 
     @property
     def rate(self) -> float:
@@ -219,6 +222,7 @@
             return False
         is_restart = state.incarnation != ""
         state.incarnation = incarnation
+        state.software = None
         if is_restart:
             state.restarted_at = now
             state.confidence = 1.0
@@ -506,17 +510,24 @@
         return is_ready and has_weights and _has_adapter(state, model, adapter)
 
     def update_loaded(
-        self, name: str, weights: dict[str, str], adapters: dict[str, str] | None, role: str
+        self,
+        name: str,
+        weights: dict[str, str],
+        adapters: dict[str, str] | None,
+        role: str,
+        software: str = "",
     ) -> None:
-        """Record the weights, adapters and role that an endpoint reports."""
+        """Record the weights, adapters, role and software version that an endpoint reports."""
         state = self.states.get(name)
-        if state is None or (state.weights, state.adapters, state.role) == (
-            weights,
-            adapters,
-            role,
+        found = (weights, adapters, role, software)
+        if state is None or found == (
+            state.weights,
+            state.adapters,
+            state.role,
+            state.software,
         ):
             return
-        state.weights, state.adapters, state.role = weights, adapters, role
+        state.weights, state.adapters, state.role, state.software = found
         self.masks.clear()
 
     def set_leaving(self, names: frozenset[str]) -> None:
--- a/bronzemux/messages.py
+++ b/bronzemux/messages.py
@@ -189,6 +189,7 @@
       rate: Expected prefill speed in tokens per second.
       incarnation: Identity of its process, empty before the first report.
       weights: Loaded weights version by model.
+      software: Version of its software, empty if it states none.
     """
 
     name: str
@@ -200,6 +201,7 @@
     rate: float
     incarnation: str
     weights: dict[str, str]
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzemux/porcelain.py
+++ b/bronzemux/porcelain.py
@@ -200,6 +200,7 @@
         lines.append(
             f"  {item['name']:24s} {state:8s} {item['in_flight']:4d} in flight, "
             f"{item['rate']:.0f} tokens/s, confidence {item['confidence']:.2f}"
+            + (f", software {item['software']}" if item.get("software") else "")
         )
     return Result("\n".join(lines), data)
 
--- a/bronzemux/standin_engine.py
+++ b/bronzemux/standin_engine.py
@@ -47,6 +47,7 @@
       piece_bytes: Size of a piece in bytes.
       load_seconds: Time to load weights.
       checks_fencing: Whether orders with an old fencing token are refused.
+      software: Version of the engine's software, empty to state none.
     """
 
     name: str
@@ -60,6 +61,7 @@
     piece_bytes: int = 4096
     load_seconds: float = 0.8
     checks_fencing: bool = False
+    software: str = ""
 
 
 @dataclasses.dataclass
@@ -118,9 +120,9 @@
 class StandinEngine:
     """Engine that responds with deterministic words.
 
-    The words depend on the request and on the engine that began the response. Another engine that
-    continues the response generates the same words, so that tests can detect a response that was
-    mixed from two.
+    The words depend on the request and on the engine that began the response. Another engine of the
+    same software that continues the response generates the same words, so that tests can detect a
+    response that was mixed from two or continued by other software.
 
     Args:
       settings: Settings.
@@ -131,6 +133,7 @@
     Attributes:
       imports: Exporting incarnation and number of pieces of each import.
       executions: Started jobs.
+      software: Version of its software, empty to state none; a change is a release.
       restarts: Number of restarts.
       computed_tokens: Prompt tokens that were neither cached nor imported.
       prompt_tokens: Prompt tokens of all jobs.
@@ -157,6 +160,7 @@
         )
         self.orders = self.loader.orders
         self.weights = self.loader.weights
+        self.software = settings.software
         self.restarts = 0
         self.port = settings.port
         self.is_up = False
@@ -326,7 +330,10 @@
             or DEFAULT_MAX_TOKENS
         )
         words = job.continue_text.split()
-        first_word = words[0] if words else f"<{self.settings.name}.{job.request_id}>"
+        own_first_word = standin_response.first_word(
+            self.settings.name, job.request_id, self.software
+        )
+        first_word = words[0] if words else own_first_word
         if job.path == prompt.CHAT_PATH and not words:
             self._emit(job, {"role": "assistant", "content": ""}, None)
         for position in range(len(words), total):
@@ -336,7 +343,7 @@
             word = (
                 first_word
                 if position == 0
-                else standin_response.response_word(first_word, position)
+                else standin_response.response_word(first_word, position, self.software)
             )
             text = word if position == 0 else " " + word
             self._emit(job, {"content": text}, "length" if position + 1 == total else None)
@@ -384,6 +391,8 @@
             (engine_http.HEADER_REQUEST, job.request_id),
             (engine_http.HEADER_INCARNATION, self.incarnation),
         ]
+        if self.software:
+            headers.append((engine_http.HEADER_SOFTWARE, self.software))
         start_response("200 OK", headers)
         return self._events(environ, job, offset)
 
@@ -450,6 +459,8 @@
             "adapters": self.loader.adapters,
             "role": self.loader.role,
         }
+        if self.software:
+            body["software"] = self.software
         return http_server.respond(start_response, 200, json.dumps(body).encode())
 
     def _serve_order(self, environ, start_response):
--- a/bronzemux/standin_response.py
+++ b/bronzemux/standin_response.py
@@ -8,6 +8,8 @@
 
 from bronzemux import engine, engine_http
 
+SOFTWARE_SEPARATOR = "@"
+
 
 @dataclasses.dataclass
 class JobState:
@@ -69,23 +71,44 @@
             self.changed.wait()
 
 
-def response_word(first_word: str, position: int) -> str:
-    """Return the word of a response at a position.
+def first_word(name: str, request_id: str, software: str = "") -> str:
+    """Return the first word of a response, which names the engine that began it.
 
     Args:
-      first_word: First word of the response, which determines all others.
+      name: Name of the endpoint.
+      request_id: Identity of the job.
+      software: Version of the engine's software, or empty.
+    """
+    suffix = f"{SOFTWARE_SEPARATOR}{software}" if software else ""
+    return f"<{name}.{request_id}{suffix}>"
+
+
+def response_word(first_word: str, position: int, software: str = "") -> str:
+    """Return the word that an engine writes at a position of a response.
+
+    Args:
+      first_word: First word of the response.
       position: Position of the word, from 1.
+      software: Version of the engine's software, or empty.
     """
-    digest = hashlib.blake2b(f"{first_word}/{position}".encode(), digest_size=3).hexdigest()
+    content = f"{first_word}/{position}/{software}" if software else f"{first_word}/{position}"
+    digest = hashlib.blake2b(content.encode(), digest_size=3).hexdigest()
     return f"{position}:{digest}"
 
 
 def is_complete_response(text: str, count: int) -> bool:
     """Return whether a text is one complete response of `count` words.
 
-    Missing, repeated or reordered words and words of another response make it incomplete.
+    Missing, repeated or reordered words, words of another response, and words of other software
+    than that of the first word make it incomplete.
     """
+    return len(text.split()) == count and is_beginning(text)
+
+
+def is_beginning(text: str) -> bool:
+    """Return whether a text is the beginning of one response, in the sense of the above."""
     words = text.split()
-    if len(words) != count or not words[0].startswith("<"):
+    if not words or not words[0].startswith("<"):
         return False
-    return all(word == response_word(words[0], i) for i, word in enumerate(words) if i)
+    software = words[0].rstrip(">").partition(SOFTWARE_SEPARATOR)[2]
+    return all(word == response_word(words[0], i, software) for i, word in enumerate(words) if i)
--- a/features/router_decoders.py
+++ b/features/router_decoders.py
@@ -73,6 +73,7 @@
     "weights": {"m1": "v1"},
     "adapters": {"m1/a": "v1"},
     "role": "decode",
+    "software": "2.1",
 }
 DOCUMENT = config.loads(support.example("centre"))
 CLAIM_FIELDS = ["done", "n", "digest", "vm-1@1", 0.0, [200, "text/plain", [b"x"]], "answer/n"]
