Continue a response only at the software version that began it

What callers saw: while engines of two software versions served one model, an idempotent response whose engine was lost (crashed, silent, restarted) went on at any engine of the model.

Cause: the candidates for a continuation were chosen by model, weights and adapter; the software was not known. And a check of the known state alone would not do: an engine may restart under its name and address with other software before the router reads its state again.

Fix: continuation.may_continue is the one rule, used by the candidates, by the choice whether a response can still go on, and by the attempt, which compares the version in the response with the one that began the text before it uses the first part. On a mismatch the job is cancelled; the engine is not regarded as faulty. When all other engines run other software, the text ends at once with outcome_unknown and costs no retry. Versions are only compared for equality; engines that state none count as one version of their own.

--- a/bronzemux/candidates.py
+++ b/bronzemux/candidates.py
@@ -1,11 +1,12 @@
-"""Endpoints that may serve a request, by weights version, exclusions and suspected crashes."""
+"""Endpoints that may serve a request, by versions, exclusions and suspected crashes."""
 
+import itertools
 import random
 
 import numpy as np
 
 from bronzemux import clock as clocks
-from bronzemux import fleet, messages, quarantine, requests
+from bronzemux import continuation, fleet, messages, quarantine, requests
 
 VersionOption = tuple[requests.Variant | None, np.ndarray]
 
@@ -57,19 +58,44 @@
         if isinstance(request, requests.ServiceRequest):
             allowed = self.fleet.allowed("", request.service, message.excluded)
             return [(None, allowed if allowed.any() else self.configured(request))]
-        variants = [
-            variant
-            for variant in request.variants
-            if message.weights_version in ("", variant.weights_version)
-        ]
-        found = [(v, self._serving(request, v, message.excluded)) for v in variants]
+        variants, software = _variants(message), message.software
+        found = [(v, self._serving(request, v, message.excluded, software)) for v in variants]
         if any(allowed.any() for _, allowed in found):
             return found
-        return [(v, self._serving(request, v, frozenset())) for v in variants]
+        return [(v, self._serving(request, v, frozenset(), software)) for v in variants]
 
-    def _serving(self, request, variant: requests.Variant, excluded: frozenset[str]) -> np.ndarray:
+    def _serving(
+        self,
+        request,
+        variant: requests.Variant,
+        excluded: frozenset[str],
+        software: str | None = None,
+    ) -> np.ndarray:
         return self.fleet.allowed(
-            request.model, "", excluded, variant.weights_version, request.adapter
+            request.model, "", excluded, variant.weights_version, request.adapter, software
+        )
+
+    def has_successor(self, message: messages.Admit) -> bool:
+        """Return whether a partly sent response may still be continued.
+
+        It may not if all endpoints that could take the request now run other software than the one
+        that began it. If none could, it waits as any request does.
+
+        Args:
+          message: Admission of the next attempt.
+        """
+        software = message.software
+        if software is None:
+            return True
+        masks = [
+            self._serving(message.request, variant, message.failed)
+            for variant in _variants(message)
+        ]
+        serving = itertools.compress(self.fleet.states.values(), np.logical_or.reduce(masks))
+        reachable = [state for state in serving if self.fleet.is_reachable(state)]
+        return not reachable or any(
+            state.software is None or continuation.may_continue(software, state.software)
+            for state in reachable
         )
 
     def configured(self, request: requests.Request) -> np.ndarray:
@@ -93,3 +119,12 @@
         running = self.running.get(name, {}).values()
         now = self.clock.monotonic()
         return any(self.quarantine.suspicion(item.request.fingerprints, now) for item in running)
+
+
+def _variants(message: messages.Admit) -> list[requests.Variant]:
+    """Return the variants of a model request that may be sent next."""
+    return [
+        variant
+        for variant in message.request.variants
+        if message.weights_version in ("", variant.weights_version)
+    ]
--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import random
+from collections.abc import Callable
 
 from bronzemux import (
     admission,
@@ -184,7 +185,7 @@
         else:
             self.health.record_failure(message, has_begun)
         if self.health.record_pause(message):
-            self._reject_during_pauses()
+            self._reject_waiting(self._check_pauses)
         self._assign_waiting()
 
     @handle.register
@@ -291,7 +292,7 @@
         )
 
     def tick(self) -> None:
-        """Reject requests whose deadline passed and assign waiting requests."""
+        """Reject requests that can no longer be assigned in time, and assign others."""
         self.quarantine.expire(self.clock.monotonic())
         for ticket in self.queue.expire(self.clock.monotonic()):
             self.meters.refusals.labels(errors.OverloadedError.kind).inc()
@@ -299,6 +300,7 @@
             ticket.payload.reply.set_exception(
                 self._overloaded("the deadline passed while the request was queued")
             )
+        self._reject_waiting(self._check_successor)
         self.meters.waiting.set(len(self.queue))
         self._assign_waiting()
 
@@ -309,12 +311,26 @@
         verdict = self.quarantine.verdict_for(request.fingerprints, now)
         if verdict is not None:
             raise _quarantined_error(",".join(sorted(verdict.members)))
+        self._check_successor(message)
         if message.is_retry:
             self._check_retry(message, now)
         else:
             self._charge_new_request(request, now)
         return self._make_ticket(message, now)
 
+    def _check_successor(self, message: messages.Admit) -> None:
+        """Check that a partly sent response may still be continued.
+
+        Raises:
+          errors.OutcomeUnknownError: When all endpoints run other software.
+        """
+        if not self.candidates.has_successor(message):
+            raise errors.OutcomeUnknownError(
+                "no endpoint with the software that began the response is left",
+                "send the request again if it is idempotent",
+                outcome=errors.Outcome.UNKNOWN,
+            )
+
     def _check_retry(self, message: messages.Admit, now: float) -> None:
         """Charge a retry to a retry budget.
 
@@ -359,32 +375,36 @@
                 "send again after Retry-After",
                 RETRY_AFTER_SECONDS,
             )
-        self._check_pauses(request, now)
+        self._check_pauses(message)
         if not self.queue.has_space(ticket):
             raise self._overloaded("the queue is full")
         if now + self._expected_wait() > metadata.deadline:
             raise self._overloaded("the expected queueing delay exceeds the deadline")
         return ticket
 
-    def _check_pauses(self, request: requests.Request, now: float) -> None:
+    def _check_pauses(self, message: messages.Admit) -> None:
         """Check that a pause of all endpoints of a request ends before its deadline.
 
         Raises:
           errors.OverloadedError: When it does not.
         """
+        request, now = message.request, self.clock.monotonic()
         pause = self.fleet.shortest_pause(self.candidates.configured(request), now)
         if now + pause > request.metadata.deadline:
             raise errors.OverloadedError(
                 "all endpoints asked for a pause", "send again after Retry-After", pause
             )
 
-    def _reject_during_pauses(self) -> None:
-        """Reject the queued requests whose deadline is before the end of the pauses."""
-        now = self.clock.monotonic()
+    def _reject_waiting(self, check: Callable[[messages.Admit], None]) -> None:
+        """Reject the queued requests that do not pass a check.
+
+        Args:
+          check: Function that raises an `errors.RequestError` for a request that does not.
+        """
         for ticket in list(self.queue):
             try:
-                self._check_pauses(ticket.payload.request, now)
-            except errors.OverloadedError as error:
+                check(ticket.payload)
+            except errors.RequestError as error:
                 self.queue.remove(ticket.request_id)
                 self.preferences.forget(ticket.request_id)
                 self.meters.refusals.labels(error.kind).inc()
--- a/bronzemux/errors.py
+++ b/bronzemux/errors.py
@@ -130,6 +130,10 @@
     """The attempt was cancelled, for example by its caller; the endpoint is not at fault."""
 
 
+class EndpointMismatchError(EndpointAbandonedError):
+    """The endpoint runs other software than the one that began the response."""
+
+
 class EndpointLostError(EndpointError):
     """The connection broke after bytes of the request were sent."""
 
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -6,7 +6,7 @@
 
 import numpy as np
 
-from bronzemux import config, routing
+from bronzemux import config, continuation, routing
 
 LOAD_REPORT_MAX_AGE_SECONDS = 5.0
 NEW_TOKENS_EWMA_WEIGHT = 0.05
@@ -187,6 +187,10 @@
         """
         return not self.is_drained(state) and max(state.ejected_until, state.paused_until) <= now
 
+    def is_reachable(self, state: EndpointState) -> bool:
+        """Return whether an endpoint is neither drained nor down; it may be ejected or paused."""
+        return not self.is_drained(state) and not state.is_unreachable
+
     def update_load(self, report: LoadReport, now: float) -> bool:
         """Record a load report.
 
@@ -477,6 +481,7 @@
         excluded: frozenset[str],
         version: str = "",
         adapter: str = "",
+        software: str | None = None,
     ) -> np.ndarray:
         """Return which endpoints serve a model or service, drained and ejected ones included.
 
@@ -486,6 +491,7 @@
           excluded: Endpoints that must not be chosen.
           version: Weights version that must be loaded; endpoints that report none qualify.
           adapter: ``name@version`` of the adapter that must be loaded, or the empty string.
+          software: Software version whose response is to be continued, None for a new response.
 
         Returns:
           Boolean array, one element per endpoint.
@@ -495,9 +501,15 @@
             serving = [self._serves(state, *key) for state in self.states.values()]
             self.masks[key] = np.array(serving, dtype=bool)
         mask = self.masks[key]
-        if not excluded:
-            return mask
-        return mask & np.array([name not in excluded for name in self.names], dtype=bool)
+        if excluded:
+            mask = mask & np.array([name not in excluded for name in self.names], dtype=bool)
+        return mask if software is None else mask & self._continuing(software)
+
+    def _continuing(self, software: str) -> np.ndarray:
+        """Return which endpoints may continue a response that a software version began."""
+        states = self.states.values()
+        found = [continuation.may_continue(software, state.software) for state in states]
+        return np.array(found, dtype=bool)
 
     def _serves(
         self, state: EndpointState, model: str, service: str, version: str, adapter: str
--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -14,6 +14,7 @@
 from bronzemux import clock as clocks
 from bronzemux import (
     completion,
+    continuation,
     dispatcher,
     engine,
     errors,
@@ -25,6 +26,8 @@
 
 MAX_STREAM_RESUMES = 3
 MAX_REFUSED_ATTEMPTS = 8
+# Failures of attempts that cost the endpoint little or nothing.
+REFUSALS = (errors.EndpointRefusedError, errors.EndpointMismatchError)
 # Lets the dispatcher reject an expired request itself; also the retry delay sent to callers.
 ADMISSION_GRACE_SECONDS = 1.0
 
@@ -79,10 +82,12 @@
         self.pause_seconds: float | None = 0.0
         self.last_failure: errors.EndpointError | None = None
         self.excluded_endpoints: frozenset[str] = frozenset()
+        self.failed_endpoints: frozenset[str] = frozenset()
         self.may_have_run = False
         self.usage = completion.Usage()
         self.incarnation = ""
         self.weights_version = ""
+        self.software: str | None = None
 
     def acquire_assignment(self) -> messages.Assignment:
         """Wait until the dispatcher assigns an endpoint to the next attempt.
@@ -102,7 +107,9 @@
             self.excluded_endpoints,
             self.weights_version,
             is_retry,
-            isinstance(self.last_failure, errors.EndpointRefusedError),
+            isinstance(self.last_failure, REFUSALS),
+            self.software,
+            self.failed_endpoints,
         )
         self.dependencies.dispatcher.send(admission)
         wait_seconds = self.request.metadata.deadline - self.dependencies.clock.monotonic()
@@ -147,7 +154,8 @@
     def check_retry(self, assignment: messages.Assignment, error) -> None:
         """Record a failed attempt and check that the request may be retried.
 
-        Attempts that endpoints refused did not run and count only towards `MAX_REFUSED_ATTEMPTS`.
+        Attempts that endpoints refused, or that were dropped before their first part because the
+        endpoint runs other software, count only towards `MAX_REFUSED_ATTEMPTS`.
 
         Args:
           assignment: Assignment of the failed attempt.
@@ -164,8 +172,10 @@
             raise errors.RejectedByEndpointError(
                 error.message, "correct the request", error.status
             ) from error
-        if isinstance(error, errors.EndpointRefusedError):
+        if isinstance(error, REFUSALS):
             self.refused_attempts += 1
+        else:
+            self.failed_endpoints |= {assignment.endpoint.name}
         failures = self.attempts - self.refused_attempts
         has_retries_left = (
             failures < metadata.snapshot.preset.retry_attempts
@@ -222,10 +232,10 @@
 class ModelExecution(BaseExecution):
     """Execution of one model request from admission to the end of its response.
 
-    An idempotent request whose endpoint fails is continued at another endpoint: the next endpoint
-    receives the text generated so far and generates the rest, so that the response is never a
-    mixture of two. A non-idempotent request is sent to another endpoint only when it certainly did
-    not run.
+    An idempotent request whose endpoint fails is continued at another endpoint of the same software:
+    the next endpoint receives the text generated so far and generates the rest, so that the response
+    is never a mixture of two. A non-idempotent request is sent to another endpoint only when it
+    certainly did not run.
 
     Args:
       request: The request.
@@ -285,6 +295,7 @@
         is_continuation = part_offset > 0
         stream = self._start_job(target_engine, job, assignment)
         self.incarnation = stream.incarnation
+        self._check_software(stream, target_engine, job, assignment)
         self.origin = Origin(
             assignment.endpoint.name, stream.incarnation, job.request_id, part_offset
         )
@@ -294,10 +305,30 @@
                     seconds = self.dependencies.clock.monotonic() - started
                     self.dependencies.dispatcher.send(messages.FirstPart(assignment, seconds))
                 self.weights_version = job.weights_version
-                yield self._record_part(part, part_offset, is_continuation)
+                recorded = self._record_part(part, part_offset, is_continuation)
+                self.software = stream.software
+                yield recorded
         finally:
             stream.close()
 
+    def _check_software(self, stream, target_engine, job, assignment) -> None:
+        """Check that the process that responds may continue the response, and drop it otherwise.
+
+        The dispatcher may have known another process under the name or address of the endpoint.
+
+        Raises:
+          errors.EndpointMismatchError: When the process runs other software.
+        """
+        if self.software is None or continuation.may_continue(self.software, stream.software):
+            return
+        stream.close()
+        gevent.spawn(_cancel_at_engine, target_engine, job.request_id)
+        raise errors.EndpointMismatchError(
+            f"{assignment.endpoint.name} runs software {stream.software!r}, "
+            f"the response began with {self.software!r}",
+            "continue at another endpoint",
+        )
+
     def _start_job(self, target_engine, job, assignment) -> engine.ResponseStream:
         """Start a job; if it is uncertain whether it started, try to resume its stream."""
         try:
@@ -332,7 +363,7 @@
                 if resume_count == MAX_STREAM_RESUMES:
                     raise
                 stream = self._resume_job(target_engine, request_id, next_number, assignment, error)
-                if stream.incarnation != incarnation:
+                if not continuation.may_resume(incarnation, stream.incarnation):
                     stream.close()
                     raise errors.EndpointLostError(
                         "the endpoint restarted during the response", "continue at another endpoint"
--- a/bronzemux/messages.py
+++ b/bronzemux/messages.py
@@ -50,7 +50,9 @@
       excluded: Names of endpoints that failed for this request.
       weights_version: Weights version that must continue a partly sent response; empty for any.
       is_retry: Whether the request was attempted before.
-      was_refused: Whether an endpoint refused the last attempt without running it.
+      was_refused: Whether the last attempt was refused, or dropped before its first part.
+      software: Software version that must continue a partly sent response; None for any.
+      failed: Names of the endpoints in `excluded` that failed rather than refused the request.
     """
 
     request: requests.Request
@@ -59,6 +61,8 @@
     weights_version: str = ""
     is_retry: bool = False
     was_refused: bool = False
+    software: str | None = None
+    failed: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bronzemux/request_handlers.py
+++ b/bronzemux/request_handlers.py
@@ -433,6 +433,7 @@
             200,
             errors.Outcome.RAN,
             endpoint=execution.origin.endpoint,
+            software=execution.software,
             attempts=execution.attempts,
             prompt_tokens=execution.usage.prompt_tokens,
             cached_tokens=execution.usage.cached_tokens,
--- a/bronzemux/resume.py
+++ b/bronzemux/resume.py
@@ -5,6 +5,7 @@
 from bronzemux import (
     completion,
     context,
+    continuation,
     decimal_digits,
     engine,
     engine_http,
@@ -39,7 +40,7 @@
         stream = components.engine_of(endpoint).resume(token.request_id, max(0, offset))
     except errors.EndpointError as error:
         raise _lost_stream_error(error.message) from error
-    if stream.incarnation != token.incarnation:
+    if not continuation.may_resume(token.incarnation, stream.incarnation):
         stream.close()
         raise _lost_stream_error("its endpoint restarted")
     components.meters.resumed.inc()
