Continue a simulated response only at the software version that began it

The replay sent requests whose engine had crashed after their first token to engines of any software, as the product did.

--- a/bronzemux/fake_engine.py
+++ b/bronzemux/fake_engine.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 
-from bronzemux import config, engine, errors, fleet, messages, requests, traffic
+from bronzemux import config, continuation, engine, errors, fleet, messages, requests, traffic
 
 DECODE_SECONDS_PER_TOKEN = 0.004
 
@@ -74,10 +74,14 @@
         return f"{self.endpoint.name}-{self.restarts}"
 
     def accept(self, job: Job) -> None:
-        """Queue a job, or fail it when the engine is down."""
+        """Queue a job; fail it when the engine is down or may not continue its response."""
         if not self.is_up:
             self.replay.on_attempt_failed(job, errors.EndpointUnreachableError("down", "none"))
             return
+        begun = self.replay.begun_software.get(job.arrival.number)
+        if begun is not None and not continuation.may_continue(begun, self.software):
+            self.replay.on_attempt_failed(job, errors.EndpointMismatchError("changed", "none"))
+            return
         self.active.append(job)
         priority = job.request.metadata.workload.priority
         heapq.heappush(self.waiting, (priority, next(self.tie_breaker), job))
--- a/bronzemux/replay.py
+++ b/bronzemux/replay.py
@@ -87,6 +87,9 @@
       excluded_endpoints: Endpoints that failed a request, by number of the request.
       attempts: Attempts by number of the request.
       first_token_seen: Numbers of the requests that have had a first token.
+      begun_software: Software version that began the response, by number of the request.
+      continued: Number of attempts that continued a response.
+      mixed_responses: Numbers of the requests whose response two software versions generated.
       phase_starts: Start of each phase in seconds.
       recorders: Recorder of each phase; a request counts in the phase in which it arrived.
       total: Recorder of the whole run.
@@ -122,6 +125,9 @@
         self.excluded_endpoints: dict[int, frozenset[str]] = {}
         self.attempts: collections.Counter[int] = collections.Counter()
         self.first_token_seen: set[int] = set()
+        self.begun_software: dict[int, str] = {}
+        self.continued = 0
+        self.mixed_responses: set[int] = set()
         self.phase_starts = sorted({0.0, *(fault.at_seconds for fault in plan.faults)})
         self.recorders = [replay_summary.Recorder(policy().name) for _ in self.phase_starts]
         self.total = replay_summary.Recorder(policy().name)
@@ -240,7 +246,11 @@
         request = self._build_request(arrival)
         excluded = self.excluded_endpoints.get(arrival.number, frozenset())
         reply = AssignmentReply(self, arrival, router)
-        self._handle(router, messages.Admit(request, reply, excluded, is_retry=is_retry))
+        software = self.begun_software.get(arrival.number)
+        admission = messages.Admit(
+            request, reply, excluded, is_retry=is_retry, software=software, failed=excluded
+        )
+        self._handle(router, admission)
 
     def _build_request(self, arrival: traffic.Arrival) -> requests.ModelRequest:
         team = next(t for t in self.document.teams if t.name == arrival.team)
@@ -316,8 +326,17 @@
                 recorder.record_first_token(job.arrival.team, seconds)
             if seconds <= job.request.metadata.workload.objective.first_token_seconds:
                 self._add_count(job.arrival, "good")
+        self._record_software(job)
         self._handle(job.router, messages.FirstPart(job.assignment, seconds))
 
+    def _record_software(self, job: fake_engine.Job) -> None:
+        """Record which software generates a response; a retry after the first token continues it."""
+        software = self.engines[job.assignment.endpoint.name].software
+        number = job.arrival.number
+        self.continued += number in self.begun_software
+        if self.begun_software.setdefault(number, software) != software:
+            self.mixed_responses.add(number)
+
     def on_answered(self, job: fake_engine.Job, incarnation: str) -> None:
         """Count a complete response."""
         self._add_count(job.arrival, "answered")
@@ -335,8 +354,10 @@
 
     def on_attempt_failed(self, job: fake_engine.Job, error: errors.EndpointError) -> None:
         """Retry a request at another endpoint, or count it as failed when no attempt is left."""
-        self._handle(job.router, messages.AttemptEnded(job.assignment, error))
         name = job.assignment.endpoint.name
+        incarnation = self.engines[name].incarnation if self.engines[name].is_up else ""
+        ended = messages.AttemptEnded(job.assignment, error, incarnation=incarnation)
+        self._handle(job.router, ended)
         number = job.arrival.number
         self.excluded_endpoints[number] = self.excluded_endpoints.get(number, frozenset()) | {name}
         if self.attempts[number] >= self.snapshot.preset.retry_attempts:
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -30,6 +30,20 @@
       | centre     | 24   |
       | plinth     | 36   |
 
+  # Guards against simulated responses that two software versions generated.
+  Scenario: Engines of two software versions that crash and change versions mix no response
+    Given 40 seconds of the traffic of "centre" at 24 per second
+    And engines of software "v1" and "v2" that crash every 5 seconds, some with other software after
+    When it is replayed under "reuse-and-load"
+    Then every request was answered, shed or failed
+    And more than 10 responses were continued and none was mixed from two software versions
+
+  # Guards against a simulated engine that continues a text which its predecessor's software began.
+  Scenario: A simulated engine drops the rest of a response that other software began
+    Given 40 seconds of the traffic of "centre" at 24 per second
+    When an engine of software "v2" gets the rest of a response that software "v1" began
+    Then it runs nothing, and the request is sent elsewhere
+
   Scenario: A large team does not delay a small one
     Guards against a queue without fairness, in which a small team waits behind a large one.
 
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -1,13 +1,16 @@
 """Steps of replay.feature."""
 
+import dataclasses
 import functools
+import itertools
 
 from behave import given, then, when
 
-from bronzemux import config, replay, replay_summary, replicas, traffic
+from bronzemux import config, fake_engine, messages, replay, replay_summary, replicas, traffic
 from features import support
 
 TESTED_POLICY = "reuse-and-load"
+CRASH_SECONDS = 2.0
 
 
 def load_plan(name: str, rate: float, seconds: float = 0.0) -> traffic.Traffic:
@@ -33,9 +36,39 @@
     context.document = config.loads(support.example(name))
 
 
+@given(
+    'engines of software "{first}" and "{second}" that crash every {seconds:d} seconds, '
+    "some with other software after"
+)
+def step_crashes(context, first, second, seconds):
+    names = [item.name for item in context.document.endpoints if item.kind == "model"]
+    versions = itertools.cycle((first, second))
+    context.software = dict(zip(names, versions, strict=False))
+    times = range(seconds, int(context.plan.duration_seconds), seconds)
+    faults = tuple(
+        traffic.Fault(float(at), "crash", name, CRASH_SECONDS)
+        for at, name in zip(times, itertools.cycle(names), strict=False)
+    )
+    context.plan = dataclasses.replace(context.plan, faults=faults)
+    context.releases = list(
+        zip([fault.at_seconds for fault in faults][::2], versions, strict=False)
+    )
+
+
+def set_software(run: replay.Replay, context) -> None:
+    """Set the software of the engines, and schedule its changes while they are down."""
+    for name, software in getattr(context, "software", {}).items():
+        run.engines[name].software = software
+    targets = {fault.at_seconds: fault.target for fault in run.plan.faults}
+    for at, software in getattr(context, "releases", ()):
+        changed = run.engines[targets[at]]
+        run.schedule(at + CRASH_SECONDS / 2, setattr, changed, "software", software)
+
+
 def run_replay(context, policy: str) -> replay.Replay:
     """Replay the traffic under a policy."""
     run = replay.Replay(context.plan, context.document, replay.POLICIES[policy])
+    set_software(run, context)
     run.run()
     return run
 
@@ -139,3 +172,35 @@
         if found.first_token[99.0] > best:
             late.append((start, found.first_token[99.0], best))
     assert not late, late
+
+
+@then("more than {count:d} responses were continued and none was mixed from two software versions")
+def step_not_mixed(context, count):
+    (run,) = context.runs.values()
+    assert run.continued > count, run.continued
+    assert not run.mixed_responses, run.mixed_responses
+
+
+@when(
+    'an engine of software "{software}" gets the rest of a response that software "{begun}" began'
+)
+def step_other_software(context, software, begun):
+    context.run = run = replay.Replay(
+        context.plan, context.document, replay.POLICIES[TESTED_POLICY]
+    )
+    arrival = next(traffic.arrivals(context.plan))
+    request = run._build_request(arrival)
+    context.engine = next(iter(run.engines.values()))
+    context.engine.software = software
+    run.begun_software[arrival.number] = begun
+    assignment = messages.Assignment(
+        request, context.engine.endpoint, 0, 0.0, variant=request.variants[0]
+    )
+    context.engine.accept(fake_engine.Job(arrival, request, assignment, 0))
+
+
+@then("it runs nothing, and the request is sent elsewhere")
+def step_dropped(context):
+    assert not context.engine.active, len(context.engine.active)
+    excluded = list(context.run.excluded_endpoints.values())
+    assert excluded == [{context.engine.endpoint.name}], excluded
