Draw releases of other software in the fault run

The fault run replaced engines only by the same software, so its checker could not see a text that two versions wrote. With continuation.may_continue disabled the checker reports such texts (new row of the feature).

--- a/features/fault_run.feature
+++ b/features/fault_run.feature
@@ -26,3 +26,4 @@
       | the sequence check  | parts lost            | answer not whole  |
       | the id match        | answers crossed       | crossed answer    |
       | the proof of not-run | service crash after  | false not-run     |
+      | the software check  | engine release        | answer not whole  |
--- a/features/fault_run.py
+++ b/features/fault_run.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import random
+import re
 import sys
 
 import gevent
@@ -39,11 +40,14 @@
 # non-idempotent workload, and status look-ups at a plain service.
 REQUEST_KINDS = ("stream", "whole", "filing", "letter", "status")
 KIND_WEIGHTS = (35, 15, 30, 10, 10)
+# The empty version is that of engines which state none.
+SOFTWARE_VERSIONS = ("", "v1", "v2")
 TEAMS = ("caseworkers", "lawyers", "public-portal")
 FAULTS = (
     "engine crash",
     "engine silence",
     "engine refuses",
+    "engine release",
     "parts lost",
     "parts doubled",
     "answers crossed",
@@ -242,7 +246,8 @@
         if not standin_response.is_complete_response(text, RESPONSE_WORDS):
             self._add_violation("answer not whole", caller)
         elif "X-Idempotent-Replay" not in reply.headers:
-            request_id = text.split()[0].strip("<>").partition(".")[2].partition(".")[0]
+            job_id = text.split()[0].strip("<>").partition(".")[2]
+            request_id = re.split(f"[.{standin_response.SOFTWARE_SEPARATOR}]", job_id)[0]
             if request_id != reply.headers["X-Request-Id"]:
                 self._add_violation("crossed answer", caller)
 
@@ -320,10 +325,13 @@
         engine = self.random.choice(list(self.deployment.engines.values()))
         if not engine.is_up:
             return
-        if fault == "crash":
+        if fault in ("crash", "release"):
             self.crashed_incarnations.add((engine.settings.name, engine.incarnation))
             engine.crash()
-            gevent.sleep(FAULT_DURATION_SECONDS)
+            if fault == "release":
+                engine.software = self.random.choice(SOFTWARE_VERSIONS)
+            else:
+                gevent.sleep(FAULT_DURATION_SECONDS)
             engine.restart()
         elif fault == "silence":
             engine.mute_open_connections()
--- a/features/steps/fault_run_steps.py
+++ b/features/steps/fault_run_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from bronzemux import claim_rows, claims, engine_http, errors, forward
+from bronzemux import claim_rows, claims, continuation, engine_http, errors, forward
 from features import fault_run, support
 
 REQUESTS_PER_SECOND = 60.0
@@ -66,6 +66,8 @@
         context.run._should_stop = lambda caller, outcome: should_stop_unsafely(caller, outcome)
     elif mechanism == "the sequence check":
         replace_attribute(context, engine_http.HttpResponseStream, "__iter__", iterate_unchecked)
+    elif mechanism == "the software check":
+        replace_attribute(context, continuation, "may_continue", lambda *versions: True)
     elif mechanism == "the id match":
         replace_attribute(context, engine_http.HttpEngine, "_stream", stream_unmatched)
     else:
