Begin a response that is not streamed anew when its software is gone

What callers saw: since a response goes on only at the software version that began it, a request that is not streamed got 502 when its engine was lost and all other engines ran other software, although the caller had received nothing that the rest would have to fit.

The parts so far are now dropped and the request starts again at any engine. It is idempotent, as no other request is continued.

--- a/bronzemux/dispatcher.py
+++ b/bronzemux/dispatcher.py
@@ -322,14 +322,10 @@
         """Check that a partly sent response may still be continued.
 
         Raises:
-          errors.OutcomeUnknownError: When all endpoints run other software.
+          errors.NoSuccessorError: When all endpoints run other software.
         """
         if not self.candidates.has_successor(message):
-            raise errors.OutcomeUnknownError(
-                "no endpoint with the software that began the response is left",
-                "send the request again if it is idempotent",
-                outcome=errors.Outcome.UNKNOWN,
-            )
+            raise errors.NoSuccessorError
 
     def _check_retry(self, message: messages.Admit, now: float) -> None:
         """Charge a retry to a retry budget.
--- a/bronzemux/errors.py
+++ b/bronzemux/errors.py
@@ -325,6 +325,17 @@
     kind = "outcome_unknown"
 
 
+class NoSuccessorError(OutcomeUnknownError):
+    """No endpoint may continue a response that has begun."""
+
+    def __init__(self):
+        super().__init__(
+            "no endpoint with the software that began the response is left",
+            "send the request again if it is idempotent",
+            outcome=Outcome.UNKNOWN,
+        )
+
+
 class ShutdownError(OutcomeUnknownError):
     """The router exits before the request has ended."""
 
--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -251,18 +251,37 @@
     def parts(self) -> Iterator[engine.Part]:
         """Iterate over the parts of the complete response, numbered from 0.
 
+        Numbering starts again if a response that is not streamed begins anew; `sent_payloads` then
+        has only its new parts.
+
         Raises:
           errors.RequestError: When the response cannot be completed; `outcome` states whether the
             request may have run.
         """
         try:
             while not self.is_done:
-                yield from self._attempt(self.acquire_assignment())
+                yield from self._attempt(self._next_assignment())
         finally:
             self.dependencies.dispatcher.send(messages.RequestEnded(self.request))
 
     # Attempts
 
+    def _next_assignment(self) -> messages.Assignment:
+        """Return the next assignment; drop the response so far if it cannot be continued.
+
+        It can be dropped as long as the caller has received none of it, thus if it is not streamed.
+        """
+        try:
+            return self.acquire_assignment()
+        except errors.NoSuccessorError as error:
+            if self.request.wants_stream:
+                raise
+            logs.event("response_restarted", request=self.request.metadata.id, cause=error.message)
+            self.sent_payloads.clear()
+            self.weights_version = ""
+            self.software = None
+            return self.acquire_assignment()
+
     def _attempt(self, assignment: messages.Assignment) -> Iterator[engine.Part]:
         self.attempts += 1
         failure: errors.EndpointError | None = errors.EndpointLostError(
--- a/bronzemux/request_handlers.py
+++ b/bronzemux/request_handlers.py
@@ -269,7 +269,7 @@
         execution = forward.ModelExecution(self.request, self.dependencies)
         parts = execution.parts() if self.claim is None else self._iter_background(execution)
         if not self.request.wants_stream:
-            return self._respond_assembled(execution, list(parts))
+            return self._respond_assembled(execution, parts)
         first = next(parts)
         self._observe_first_token()
         headers = [(RESUME_HEADER, self._sign_token(execution.origin))]
@@ -346,9 +346,11 @@
 
     # Formats of the response
 
-    def _respond_assembled(self, execution: forward.ModelExecution, parts: list[engine.Part]):
+    def _respond_assembled(self, execution: forward.ModelExecution, parts: Iterator[engine.Part]):
+        for _ in parts:
+            continue
         self._observe_first_token()
-        body = completion.assemble(self.request.path, [part.data for part in parts])
+        body = completion.assemble(self.request.path, execution.sent_payloads)
         self._record_run(execution)
         return self.call.respond_json(body, outcome=errors.Outcome.RAN)
 
--- a/bronzemux/standin_response.py
+++ b/bronzemux/standin_response.py
@@ -110,5 +110,10 @@
     words = text.split()
     if not words or not words[0].startswith("<"):
         return False
-    software = words[0].rstrip(">").partition(SOFTWARE_SEPARATOR)[2]
+    software = software_of(text)
     return all(word == response_word(words[0], i, software) for i, word in enumerate(words) if i)
+
+
+def software_of(text: str) -> str:
+    """Return the software version that began a response, or empty."""
+    return text.split()[0].rstrip(">").partition(SOFTWARE_SEPARATOR)[2]
--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -39,6 +39,18 @@
       | crash after 5 parts       | none     | v1    |
       | crash after 5 parts       | v1       | none  |
 
+  # Guards against a failed request of which the caller has received nothing yet.
+  Scenario Outline: A response that is not streamed begins anew when all other engines run other software
+    Given the engine of a prompt and 0 more run software "<software>", all others "<other>"
+    And the engine of the prompt will crash after 5 parts
+    When the prompt is sent, and the response is not streamed
+    Then the whole text was written by software "<other>"
+
+    Examples:
+      | software | other |
+      | v1       | v2    |
+      | none     | v1    |
+
   # Guards against a caller that waits on after the engine that it waited for has crashed.
   Scenario: A stream that waits for an engine of its software ends when that engine crashes
     Given the engine of a prompt and 1 more run software "v1", all others "v2"
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -157,6 +157,21 @@
     connection.close()
 
 
+@when("the prompt is sent, and the response is not streamed")
+def step_send_whole(context):
+    address = support.router_address(context.deployment)
+    key = context.deployment.key("caseworkers")
+    context.reply = support.send(address, "POST", callers_steps.CHAT, key, PROMPT)
+
+
+@then('the whole text was written by software "{software}"')
+def step_whole(context, software):
+    assert context.reply.status == 200, context.reply
+    text = context.reply.json()["choices"][0]["message"]["content"]
+    assert standin_response.is_complete_response(text, 16), text
+    assert standin_response.software_of(text) == software, text
+
+
 def streamed_text(context) -> str:
     """Return the text that the caller received; it must be the beginning of one response."""
     text = completion.joined_text(context.payloads)
