End a stream whose engine restarts with other software in an outage

What callers saw: while all other engines were down, a stream whose engine crashed and restarted with other software got no event until its deadline, as an engine that had failed the request did not count as one of other software.

An endpoint counts now by its present software, and one that failed the request is only no successor.

--- a/bronzemux/candidates.py
+++ b/bronzemux/candidates.py
@@ -78,8 +78,8 @@
     def has_successor(self, message: messages.Admit) -> bool:
         """Return whether a partly sent response may still be continued.
 
-        It may not if all endpoints that could take the request now run other software than the one
-        that began it. If none could, it waits as any request does.
+        It may not if endpoints of other software are reachable, and none of its own software that
+        has not failed it. In an outage of all endpoints it waits as any request does.
 
         Args:
           message: Admission of the next attempt.
@@ -88,15 +88,16 @@
         if software is None:
             return True
         masks = [
-            self._serving(message.request, variant, message.failed)
-            for variant in _variants(message)
+            self._serving(message.request, variant, frozenset()) for variant in _variants(message)
         ]
         serving = itertools.compress(self.fleet.states.values(), np.logical_or.reduce(masks))
         reachable = [state for state in serving if self.fleet.is_reachable(state)]
-        return not reachable or any(
-            state.software is None or continuation.may_continue(software, state.software)
+        alike = [
+            state.endpoint.name
             for state in reachable
-        )
+            if state.software is None or continuation.may_continue(software, state.software)
+        ]
+        return len(alike) == len(reachable) or not message.failed.issuperset(alike)
 
     def configured(self, request: requests.Request) -> np.ndarray:
         """Return which endpoints serve the model or service of a request, as a boolean array."""
--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -61,6 +61,20 @@
     Then the stream ends with the error "outcome_unknown" after at most 4 seconds
     And only engines of software "v1" ran it, 1 of them
 
+  # Guards against a stream that an outage of all engines ends, and a mixed text after it.
+  Scenario Outline: A stream waits in an outage of all engines for the software that began it
+    Given the engine of a prompt and 0 more run software "v1", all others "v2"
+    And all other engines have crashed
+    And the engine of the prompt will crash after 5 parts
+    And the engine of the prompt restarts with "<software>" 1 second after its crash
+    When the prompt is streamed
+    Then <end>
+
+    Examples:
+      | software | end                                                                      |
+      | v1       | the streamed text is complete                                            |
+      | v2       | the stream ends with the error "outcome_unknown" after at most 6 seconds |
+
   # Guards against a stream that is broken off because its only other engine refused it for a moment.
   Scenario: A stream goes on at the only other engine of its software after that refused it
     Given the engine of a prompt and 1 more run software "v1", all others "v2"
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -105,6 +105,27 @@
     run_beside(context, crash)
 
 
+@given("all other engines have crashed")
+def step_others_crash(context):
+    others = [item for item in streams_steps.engines(context) if item is not context.engine]
+    for item in others:
+        item.crash()
+    streams_steps.wait_for(
+        lambda: not any(streams_steps.is_available(context, item) for item in others)
+    )
+
+
+@given('the engine of the prompt restarts with "{software}" {seconds:d} second after its crash')
+def step_restart_later(context, software, seconds):
+    def restart() -> None:
+        streams_steps.wait_for(lambda: not context.engine.is_up)
+        gevent.sleep(seconds)
+        context.engine.software = software
+        context.engine.restart()
+
+    run_beside(context, restart)
+
+
 @given("reports of engines reach the routers {seconds:g} seconds late")
 def step_late_reports(context, seconds):
     for router in context.deployment.routers:
