--- a/bronzemux/errors.py
+++ b/bronzemux/errors.py
@@ -130,6 +130,10 @@
     """The attempt was cancelled, for example by its caller; the endpoint is not at fault."""
 
 
+class EndpointMismatchError(EndpointAbandonedError):
+    """The endpoint runs other software than the one that began the response."""
+
+
 class EndpointLostError(EndpointError):
     """The connection broke after bytes of the request were sent."""
 
@@ -321,6 +325,17 @@
     kind = "outcome_unknown"
 
 
+class NoSuccessorError(OutcomeUnknownError):
+    """No endpoint may continue a response that has begun."""
+
+    def __init__(self):
+        super().__init__(
+            "no endpoint with the software that began the response is left",
+            "send the request again if it is idempotent",
+            outcome=Outcome.UNKNOWN,
+        )
+
+
 class ShutdownError(OutcomeUnknownError):
     """The router exits before the request has ended."""
 
--- a/bronzemux/fake_engine.py
+++ b/bronzemux/fake_engine.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 
-from bronzemux import config, engine, errors, fleet, messages, requests, traffic
+from bronzemux import config, continuation, engine, errors, fleet, messages, requests, traffic
 
 DECODE_SECONDS_PER_TOKEN = 0.004
 
@@ -41,6 +41,7 @@
 
     Attributes:
       slowness: Factor on the times to prefill and to decode.
+      software: Version of its software, empty to state none.
       waiting: Heap of the jobs that wait for their prefill as priority, tie-breaker and job.
       active: Jobs that have neither completed nor failed, waiting ones included.
       generation: Number of resets; scheduled calls of an earlier generation have no effect.
@@ -51,6 +52,7 @@
         self.piece_tokens = piece_tokens
         self.replay = replay
         self.slowness = 1.0
+        self.software = ""
         self.is_up = True
         self.restarts = 0
         self.reset()
@@ -72,10 +74,14 @@
         return f"{self.endpoint.name}-{self.restarts}"
 
     def accept(self, job: Job) -> None:
-        """Queue a job, or fail it when the engine is down."""
+        """Queue a job; fail it when the engine is down or may not continue its response."""
         if not self.is_up:
             self.replay.on_attempt_failed(job, errors.EndpointUnreachableError("down", "none"))
             return
+        begun = self.replay.begun_software.get(job.arrival.number)
+        if begun is not None and not continuation.may_continue(begun, self.software):
+            self.replay.on_attempt_failed(job, errors.EndpointMismatchError("changed", "none"))
+            return
         self.active.append(job)
         priority = job.request.metadata.workload.priority
         heapq.heappush(self.waiting, (priority, next(self.tie_breaker), job))
@@ -179,4 +185,4 @@
             stored=tuple(key for key, is_stored in events if is_stored),
             evicted=tuple(key for key, is_stored in events if not is_stored),
         )
-        return engine.EngineState(load, batch)
+        return engine.EngineState(load, batch, software=self.software)
--- a/bronzemux/fleet.py
+++ b/bronzemux/fleet.py
@@ -6,7 +6,7 @@
 
 import numpy as np
 
-from bronzemux import config, routing
+from bronzemux import config, continuation, routing
 
 LOAD_REPORT_MAX_AGE_SECONDS = 5.0
 NEW_TOKENS_EWMA_WEIGHT = 0.05
@@ -75,6 +75,8 @@
       weights: Loaded weights version by model.
       adapters: Loaded adapter version by `engine.adapter_key`, None if not reported.
       role: Role of the engine, empty if not reported.
+      software: Version of this incarnation's software, empty if it states none, None before its
+        first report.
     """
 
     endpoint: config.Endpoint
@@ -97,6 +99,7 @@
     weights: dict[str, str] = dataclasses.field(default_factory=dict)
     adapters: dict[str, str] | None = None
     role: str = ""
+    software: str | None = None
 
     @property
     def rate(self) -> float:
@@ -184,6 +187,10 @@
         """
         return not self.is_drained(state) and max(state.ejected_until, state.paused_until) <= now
 
+    def is_reachable(self, state: EndpointState) -> bool:
+        """Return whether an endpoint is neither drained nor down; it may be ejected or paused."""
+        return not self.is_drained(state) and not state.is_unreachable
+
     def update_load(self, report: LoadReport, now: float) -> bool:
         """Record a load report.
 
@@ -219,6 +226,7 @@
             return False
         is_restart = state.incarnation != ""
         state.incarnation = incarnation
+        state.software = None
         if is_restart:
             state.restarted_at = now
             state.confidence = 1.0
@@ -473,6 +481,7 @@
         excluded: frozenset[str],
         version: str = "",
         adapter: str = "",
+        software: str | None = None,
     ) -> np.ndarray:
         """Return which endpoints serve a model or service, drained and ejected ones included.
 
@@ -482,6 +491,7 @@
           excluded: Endpoints that must not be chosen.
           version: Weights version that must be loaded; endpoints that report none qualify.
           adapter: ``name@version`` of the adapter that must be loaded, or the empty string.
+          software: Software version whose response is to be continued, None for a new response.
 
         Returns:
           Boolean array, one element per endpoint.
@@ -491,9 +501,15 @@
             serving = [self._serves(state, *key) for state in self.states.values()]
             self.masks[key] = np.array(serving, dtype=bool)
         mask = self.masks[key]
-        if not excluded:
-            return mask
-        return mask & np.array([name not in excluded for name in self.names], dtype=bool)
+        if excluded:
+            mask = mask & np.array([name not in excluded for name in self.names], dtype=bool)
+        return mask if software is None else mask & self._continuing(software)
+
+    def _continuing(self, software: str) -> np.ndarray:
+        """Return which endpoints may continue a response that a software version began."""
+        states = self.states.values()
+        found = [continuation.may_continue(software, state.software) for state in states]
+        return np.array(found, dtype=bool)
 
     def _serves(
         self, state: EndpointState, model: str, service: str, version: str, adapter: str
@@ -506,17 +522,24 @@
         return is_ready and has_weights and _has_adapter(state, model, adapter)
 
     def update_loaded(
-        self, name: str, weights: dict[str, str], adapters: dict[str, str] | None, role: str
+        self,
+        name: str,
+        weights: dict[str, str],
+        adapters: dict[str, str] | None,
+        role: str,
+        software: str = "",
     ) -> None:
-        """Record the weights, adapters and role that an endpoint reports."""
+        """Record the weights, adapters, role and software version that an endpoint reports."""
         state = self.states.get(name)
-        if state is None or (state.weights, state.adapters, state.role) == (
-            weights,
-            adapters,
-            role,
+        found = (weights, adapters, role, software)
+        if state is None or found == (
+            state.weights,
+            state.adapters,
+            state.role,
+            state.software,
         ):
             return
-        state.weights, state.adapters, state.role = weights, adapters, role
+        state.weights, state.adapters, state.role, state.software = found
         self.masks.clear()
 
     def set_leaving(self, names: frozenset[str]) -> None:
--- a/bronzemux/forward.py
+++ b/bronzemux/forward.py
@@ -14,6 +14,7 @@
 from bronzemux import clock as clocks
 from bronzemux import (
     completion,
+    continuation,
     dispatcher,
     engine,
     errors,
@@ -25,6 +26,8 @@
 
 MAX_STREAM_RESUMES = 3
 MAX_REFUSED_ATTEMPTS = 8
+# Failures of attempts that cost the endpoint little or nothing.
+REFUSALS = (errors.EndpointRefusedError, errors.EndpointMismatchError)
 # Lets the dispatcher, which checks its queue every 0.25 s, reject an expired request itself.
 ADMISSION_GRACE_SECONDS = 0.5
 RETRY_AFTER_SECONDS = 1.0
@@ -80,10 +83,12 @@
         self.pause_seconds: float | None = 0.0
         self.last_failure: errors.EndpointError | None = None
         self.excluded_endpoints: frozenset[str] = frozenset()
+        self.failed_endpoints: frozenset[str] = frozenset()
         self.may_have_run = False
         self.usage = completion.Usage()
         self.incarnation = ""
         self.weights_version = ""
+        self.software: str | None = None
 
     def acquire_assignment(self) -> messages.Assignment:
         """Wait until the dispatcher assigns an endpoint to the next attempt.
@@ -103,7 +108,9 @@
             self.excluded_endpoints,
             self.weights_version,
             is_retry,
-            isinstance(self.last_failure, errors.EndpointRefusedError),
+            isinstance(self.last_failure, REFUSALS),
+            self.software,
+            self.failed_endpoints,
         )
         self.dependencies.dispatcher.send(admission)
         wait_seconds = self.request.metadata.deadline - self.dependencies.clock.monotonic()
@@ -148,7 +155,8 @@
     def check_retry(self, assignment: messages.Assignment, error) -> None:
         """Record a failed attempt and check that the request may be retried.
 
-        Attempts that endpoints refused did not run and count only towards `MAX_REFUSED_ATTEMPTS`.
+        Attempts that endpoints refused, or that were dropped before their first part because the
+        endpoint runs other software, count only towards `MAX_REFUSED_ATTEMPTS`.
 
         Args:
           assignment: Assignment of the failed attempt.
@@ -165,8 +173,10 @@
             raise errors.RejectedByEndpointError(
                 error.message, "correct the request", error.status
             ) from error
-        if isinstance(error, errors.EndpointRefusedError):
+        if isinstance(error, REFUSALS):
             self.refused_attempts += 1
+        else:
+            self.failed_endpoints |= {assignment.endpoint.name}
         failures = self.attempts - self.refused_attempts
         has_retries_left = (
             failures < metadata.snapshot.preset.retry_attempts
@@ -223,10 +233,10 @@
 class ModelExecution(BaseExecution):
     """Execution of one model request from admission to the end of its response.
 
-    An idempotent request whose endpoint fails is continued at another endpoint: the next endpoint
-    receives the text generated so far and generates the rest, so that the response is never a
-    mixture of two. A non-idempotent request is sent to another endpoint only when it certainly did
-    not run.
+    An idempotent request whose endpoint fails is continued at another endpoint of the same software:
+    the next endpoint receives the text generated so far and generates the rest, so that the response
+    is never a mixture of two. A non-idempotent request is sent to another endpoint only when it
+    certainly did not run.
 
     Args:
       request: The request.
@@ -242,18 +252,37 @@
     def parts(self) -> Iterator[engine.Part]:
         """Iterate over the parts of the complete response, numbered from 0.
 
+        Numbering starts again if a response that is not streamed begins anew; `sent_payloads` then
+        has only its new parts.
+
         Raises:
           errors.RequestError: When the response cannot be completed; `outcome` states whether the
             request may have run.
         """
         try:
             while not self.is_done:
-                yield from self._attempt(self.acquire_assignment())
+                yield from self._attempt(self._next_assignment())
         finally:
             self.dependencies.dispatcher.send(messages.RequestEnded(self.request))
 
     # Attempts
 
+    def _next_assignment(self) -> messages.Assignment:
+        """Return the next assignment; drop the response so far if it cannot be continued.
+
+        It can be dropped as long as the caller has received none of it, thus if it is not streamed.
+        """
+        try:
+            return self.acquire_assignment()
+        except errors.NoSuccessorError as error:
+            if self.request.wants_stream:
+                raise
+            logs.event("response_restarted", request=self.request.metadata.id, cause=error.message)
+            self.sent_payloads.clear()
+            self.weights_version = ""
+            self.software = None
+            return self.acquire_assignment()
+
     def _attempt(self, assignment: messages.Assignment) -> Iterator[engine.Part]:
         self.attempts += 1
         failure: errors.EndpointError | None = errors.EndpointLostError(
@@ -286,6 +315,7 @@
         is_continuation = part_offset > 0
         stream = self._start_job(target_engine, job, assignment)
         self.incarnation = stream.incarnation
+        self._check_software(stream, target_engine, job, assignment)
         self.origin = Origin(
             assignment.endpoint.name, stream.incarnation, job.request_id, part_offset
         )
@@ -295,10 +325,30 @@
                     seconds = self.dependencies.clock.monotonic() - started
                     self.dependencies.dispatcher.send(messages.FirstPart(assignment, seconds))
                 self.weights_version = job.weights_version
-                yield self._record_part(part, part_offset, is_continuation)
+                recorded = self._record_part(part, part_offset, is_continuation)
+                self.software = stream.software
+                yield recorded
         finally:
             stream.close()
 
+    def _check_software(self, stream, target_engine, job, assignment) -> None:
+        """Check that the process that responds may continue the response, and drop it otherwise.
+
+        The dispatcher may have known another process under the name or address of the endpoint.
+
+        Raises:
+          errors.EndpointMismatchError: When the process runs other software.
+        """
+        if self.software is None or continuation.may_continue(self.software, stream.software):
+            return
+        stream.close()
+        gevent.spawn(_cancel_at_engine, target_engine, job.request_id)
+        raise errors.EndpointMismatchError(
+            f"{assignment.endpoint.name} runs software {stream.software!r}, "
+            f"the response began with {self.software!r}",
+            "continue at another endpoint",
+        )
+
     def _start_job(self, target_engine, job, assignment) -> engine.ResponseStream:
         """Start a job; if it is uncertain whether it started, try to resume its stream."""
         try:
@@ -333,7 +383,7 @@
                 if resume_count == MAX_STREAM_RESUMES:
                     raise
                 stream = self._resume_job(target_engine, request_id, next_number, assignment, error)
-                if stream.incarnation != incarnation:
+                if not continuation.may_resume(incarnation, stream.incarnation):
                     stream.close()
                     raise errors.EndpointLostError(
                         "the endpoint restarted during the response", "continue at another endpoint"
