Keep the lag of a table behind newer peers when one that is level is heard

Cause: a router requests a table 0.3 s after a peer announced a newer version, but forgot that lag whenever another peer announced the version that it had itself. Two new routers of a full mesh so kept each other from asking, until they followed the store themselves 3 s after their start.

Now a lag ends only when the router has the version that it lagged behind.

--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -529,7 +529,9 @@
             if replica is None:
                 continue
             if version <= replica.changed_version:
-                self.table_lags.pop(name, None)
+                lag = self.table_lags.get(name)
+                if lag is not None and lag.version <= replica.changed_version:
+                    del self.table_lags[name]
                 continue
             lag = self.table_lags.setdefault(name, TableLag(version, now))
             is_due = (
--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -127,6 +127,22 @@
     Then the router has the configuration in force
     And the router has not followed the store
 
+  # Guards against routers that keep an old configuration because a peer that is as old was heard.
+  Scenario Outline: <count> restarted routers of a full mesh get a configuration that changes soon after
+    Given 15 routers in 3 data centres, of which 2 in each have high capacity
+    And the routers run for 4 seconds
+    When <count> low-capacity routers restart together
+    And the routers run for 0.5 seconds
+    And configuration 2 is written for the routers
+    And the routers run for 1.2 seconds
+    Then configuration 2 is in force at all routers
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+      | 4     |
+
   Scenario: Load pattern "many routers": each router counts the load of all
     Given 24 routers in 3 data centres, of which 2 in each have high capacity
     And the routers run for 4 seconds
--- a/features/steps/gateway_relays_steps.py
+++ b/features/steps/gateway_relays_steps.py
@@ -206,6 +206,16 @@
     context.fleet.start(context.killed_names[0])
 
 
+@when("{count:d} low-capacity routers restart together")
+def step_restart_together(context, count):
+    fleet = context.fleet
+    names = sorted(set(fleet.gateways) - high_capacity_routers(fleet))[:count]
+    fleet.down |= set(names)
+    fleet.run(2.0)
+    for name in names:
+        fleet.start(name)
+
+
 @then("the router has the configuration in force")
 def step_has(context):
     assert context.fleet.configuration_versions()[context.killed_names[0]] == 1
