Release software versions in the soak and join what callers got

The soak has releases back and forth between three software versions ("release" replaces an endpoint, "reinstall" restarts one under its identity, with its entry written up to 0.3 s later) and a power loss of all routers ("power"). One resumable stream in three ends as its caller's connection breaks; callers take such streams, and those that broke off otherwise, up to three times up at any router, with the id of the first attempt.

The checker joins all attempts of a stream: ORDER is reported for a gap, a repeat, or, as the rule says, when more than two streams hold events of two versions; the soak prints each such stream. LOST is reported when streams that are taken up, while two endpoints of their version serve, go on less than half as often as new ones begin.

--- a/features/broken_gateway.py
+++ b/features/broken_gateway.py
@@ -4,17 +4,27 @@
 a moment after a configuration, "hangup" after SIGHUP, and "stop" cuts off requests at SIGTERM.
 "older" takes the configuration of a restored store for the newest one, "leaving" does not heed
 announcements of endpoints that they leave, "pause" does not heed the pauses they ask for, and
-"silence" gives up streams in which an endpoint is silent.
+"silence" gives up streams in which an endpoint is silent, "software" takes all endpoints for ones
+of the same software version, and "refusal" refuses all streams that callers take up.
 """
 
 if __name__ == "__main__":
     # Patches the standard library and ignores SIGHUP, which a test process must not do.
     from bronzemux import cli_gateway
 
+import dataclasses
 import os
 import time
 
-from bronzemux.gateway import cluster_state, endpoint_notices, exchange, gateway, ingress
+from bronzemux.gateway import (
+    cluster_state,
+    endpoint_notices,
+    exchange,
+    failures,
+    forwarder,
+    gateway,
+    ingress,
+)
 from bronzemux.platform import documents
 
 FAULT_VARIABLE = "BRONZEMUX_BROKEN_GATEWAY"
@@ -63,6 +73,15 @@
         state.configuration = None
         apply_configuration(state, found, row, source)
 
+    def decode_alike(key: str, data: bytes):
+        return dataclasses.replace(decode_endpoint(key, data), software="any")
+
+    def choose_if_new(found, job):
+        if job.request.last_event_id is not None:
+            raise failures.RefusedError(503, "taken up", "retry later", FAULT_SECONDS)
+        return choose(found, job)
+
+    decode_endpoint, choose = documents.decode_endpoint, forwarder.Forwarder._choose
     apply_configuration = cluster_state.ClusterState._apply_configuration
     ingress.Ingress._serve_request = serve_or_close
     if fault == "configuration":
@@ -80,6 +99,10 @@
     elif fault == "silence":
         exchange.Exchange._remaining_seconds = lambda attempt: 0.8
         exchange.Exchange._should_keep_waiting = lambda attempt: False
+    elif fault == "software":
+        documents.decode_endpoint = decode_alike
+    elif fault == "refusal":
+        forwarder.Forwarder._choose = choose_if_new
     else:
         gateway.Gateway.stop = stop_at_once
     cli_gateway.main()
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -232,7 +232,10 @@
 
 
 def read_reply(
-    channel: http1.Channel, method: str = "POST", body_errors=(http1.EndOfStreamError,)
+    channel: http1.Channel,
+    method: str = "POST",
+    body_errors=(http1.EndOfStreamError,),
+    is_enough=lambda body: False,
 ) -> Reply:
     """Read one response, or the part of it that arrives.
 
@@ -240,6 +243,7 @@
       channel: The connection.
       method: Method of the request.
       body_errors: Errors after the head that end the response instead of being raised.
+      is_enough: Returns whether to read no more of the body after a part of it.
     """
     body = bytearray()
     try:
@@ -252,6 +256,8 @@
     try:
         for piece in channel.iter_body(http1.response_framing(head, method)):
             body += piece
+            if is_enough(body):
+                return Reply(status, head, bytes(body), is_whole=False)
     except body_errors:
         return Reply(status, head, bytes(body), is_whole=False)
     return Reply(status, head, bytes(body), is_whole=True)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -6,6 +6,16 @@
     When the soak runs seed 1 with 8 seconds of faults
     Then no invariant is violated
 
+  # Guards against streams of two software versions, and against refusals of callers that return.
+  Scenario Outline: A short run with releases violates no invariant
+    When the soak runs seed 2 with only <faults> for 8 seconds
+    Then no invariant is violated
+
+    Examples:
+      | faults                          |
+      | release                         |
+      | release and reinstall and power |
+
   Scenario: Seeds that once violated an invariant violate none any more
     Then no seed of features/soak_seeds.txt violates an invariant
 
@@ -30,6 +40,8 @@
       | 8       | leave                 | send requests to endpoints that leave               | DRAIN     |
       | 8       | shed                  | send requests to endpoints that ask for a pause     | BUDGET    |
       | 8       | silence               | give up streams of silent endpoints                 | LOST      |
+      | 6       | release               | continue streams at any software version            | ORDER     |
+      | 6       | release               | refuse streams that callers take up                 | LOST      |
 
   Scenario Outline: Callers of the soak see whether a request was read before its connection ended
     When a server closes a connection <when>
@@ -59,6 +71,11 @@
       | a response belongs to another request                                                      | MIXED     |
       | a stream lacks an event in the middle                                                      | ORDER     |
       | a stream without its last event is marked complete                                         | ORDER     |
+      | 3 responses hold events of two software versions                                           | ORDER     |
+      | 3 streams go on at another software version when they are taken up                         | ORDER     |
+      | 1 stream goes on with an event that its caller has when it is taken up                     | ORDER     |
+      | 1 stream goes on without an event when it is taken up                                      | ORDER     |
+      | 12 streams are refused when they are taken up, while 2 endpoints of their version serve    | LOST      |
       | a request is executed that no caller sent                                                  | UNASKED   |
       | a request is executed under another team                                                   | UNASKED   |
       | a request is executed with the caller's key                                                | UNASKED   |
@@ -97,6 +114,12 @@
       | a request is sent while its router stops accepting                                       |
       | a stream breaks off as its endpoint crashes on a prompt part                             |
       | a stream continues from its KV backup at a second endpoint                               |
+      | a stream ends as its caller's connection breaks                                          |
+      | 2 responses hold events of two software versions                                         |
+      | 2 streams go on at another software version when they are taken up                       |
+      | 12 streams go on at their software version when they are taken up                        |
+      | 11 streams are refused when they are taken up, while 2 endpoints of their version serve  |
+      | 12 streams are refused when they are taken up, while 1 endpoints of their version serve  |
       | a request reaches a draining endpoint through a paused router                            |
       | a load order arrives right after its sender was resumed                                  |
       | an endpoint asks for a pause of 5 s, and 2 requests reach it from its router             |
--- a/features/soak.py
+++ b/features/soak.py
@@ -90,6 +90,14 @@
 CRASHING_REQUEST_RATIO = 3
 MAX_CRASHING_PARTS = 2
 ENDPOINT_RESTART_SECONDS = 1.0
+SOFTWARE_VERSIONS = ("v1", "v2", "v3")
+# Longest time until the entry of an endpoint that restarted with other software is written.
+MAX_ENTRY_DELAY_SECONDS = 0.3
+# One resumable stream in so many ends as its caller's connection breaks.
+BROKEN_STREAM_RATIO = 3
+# Attempts to take a stream up, and the longest pause of a caller before each.
+MAX_TAKE_UPS = 3
+TAKE_UP_PAUSE_SECONDS = 0.3
 MAX_PRINTED_VIOLATIONS = 20
 SEED_PROCESSES: list[subprocess.Popen] = []
 STORE_FAULTS = [fault for fault in standin_store.Fault if fault is not standin_store.Fault.NONE]
@@ -109,11 +117,18 @@
 class RecordingWorker(standin_worker.StandInWorker):
     """Stand-in endpoint behind a proxy that records the requests and load orders it receives."""
 
-    def __init__(self, identity: str, service: str, history: soak_checker.History, weights=None):
-        super().__init__(identity, service, weights)
+    def __init__(
+        self,
+        identity: str,
+        service: str,
+        history: soak_checker.History,
+        weights=None,
+        software: str = SOFTWARE_VERSIONS[0],
+    ):
+        super().__init__(identity, service, weights, software)
+        self.marks_software = True
         self.history = history
         self.on_crash = lambda worker: None
-        self.started_at_ms = 1_000
         self.state = "ready"
         self.heartbeats = 0
         self.event_seconds = 0.03
@@ -130,7 +145,6 @@
             self.heartbeats += 1
         fields = {
             "address": self.proxy.address,
-            "born": self.started_at_ms,
             "sequence": self.heartbeats,
             "state": self.state,
         }
@@ -347,12 +361,29 @@
         for process in self.processes:
             process.write_settings(seeds)
 
-    def _add_worker(self, identity: str, service: str, weights=None) -> None:
-        worker = RecordingWorker(identity, service, self.history, weights)
+    def _add_worker(
+        self, identity: str, service: str, weights=None, software: str = SOFTWARE_VERSIONS[0]
+    ) -> None:
+        worker = RecordingWorker(identity, service, self.history, weights, software)
         worker.on_crash = self._restart_crashed
         worker.crashing_parts = frozenset(self.crashing_parts)
         self.workers[identity] = self.registered[identity] = worker
         self._write_entry(worker)
+        self._record_software(worker)
+
+    def _record_software(self, worker: RecordingWorker) -> None:
+        """Record that a model endpoint serves from now on."""
+        if worker.weights:
+            interval = soak_checker.SoftwareInterval(
+                worker.identity, worker.software, time.monotonic()
+            )
+            self.history.software.append(interval)
+
+    def _record_software_end(self, worker: RecordingWorker) -> None:
+        """Record that an endpoint serves with its software no more."""
+        for interval in self.history.software:
+            if interval.endpoint == worker.identity:
+                interval.ended_at = min(interval.ended_at, time.monotonic())
 
     def _write_entry(self, worker: RecordingWorker) -> None:
         self.store.put("servers", worker.identity, worker.entry())
@@ -381,7 +412,20 @@
         router: str,
         idle_seconds: float = 0.0,
         is_after_close: bool = False,
+        last: int = 0,
+        earlier: tuple[soak_checker.RequestAttempt, ...] = (),
     ) -> soak_checker.RequestAttempt:
+        """Send a request, read its response and record both.
+
+        Args:
+          channel: Connection to a router.
+          kind: Kind of the request.
+          router: Name of the router.
+          idle_seconds: Time since the response before on the connection.
+          is_after_close: Whether the response before announced the close of the connection.
+          last: Event after which the caller's connection breaks, 0 for none.
+          earlier: Earlier attempts of a stream that is taken up.
+        """
         number = next(self.numbers)
         attempt = soak_checker.RequestAttempt(
             f"q{number}", kind, f"/{kind}/{number}", "clerks", router, time.monotonic()
@@ -390,20 +434,32 @@
         attempt.is_after_close = is_after_close
         if kind == "late":
             attempt.target = f"/{self._due_routes()[-1]}/{number}"
+        if earlier:
+            attempt.target = earlier[0].target
+            attempt.resumes = earlier[0].id
+            attempt.last_event_id = max(n for found in earlier for n, _ in found.events())
         self.history.attempts.append(attempt)
+
+        def is_enough(body: bytes) -> bool:
+            numbers = soak_checker.EVENT_PATTERN.findall(body) if last else ()
+            return bool(numbers) and int(numbers[-1][0]) >= last
+
         try:
             deadline_ms = STREAM_DEADLINE_MS if kind in STREAM_KINDS else DEADLINE_MS
             fields = {"Request_Id": attempt.id, "Deadline_Ms": str(deadline_ms)}
             if kind == "classify" and self.crashing_parts and number % CRASHING_REQUEST_RATIO == 0:
                 part = self.crashing_parts[number % len(self.crashing_parts)]
                 fields["Prompt_Prefix"] = f"aa:50,{part}:20,{number:x}:30"
+            if earlier:
+                fields |= {"Resumes": attempt.resumes, "Last_Event_Id": str(attempt.last_event_id)}
             data = gateway_support.Site.encode(self, attempt.target, **fields)
             channel.sock.sendall(data)
             reply = gateway_support.read_reply(
-                channel, body_errors=(OSError, http1.EndOfStreamError)
+                channel, body_errors=(OSError, http1.EndOfStreamError), is_enough=is_enough
             )
             attempt.status, attempt.body = reply.status, reply.body
             attempt.is_whole = reply.is_whole
+            attempt.is_abandoned = is_enough(reply.body) and not reply.is_whole
             # A response that was broken off ends the connection.
             attempt.is_closing = not reply.is_whole or reply.head.is_closing()
         except (OSError, http1.EndOfStreamError):
@@ -435,12 +491,19 @@
                 gevent.sleep(REQUEST_INTERVAL_SECONDS)
                 continue
             sock.settimeout(STREAM_DEADLINE_MS / 1000 + 1.0)
+            attempt = None
             with sock:
                 channel = http1.Channel(sock)
                 idle_seconds, is_after_close = 0.0, False
                 while not self.is_finished:
+                    kind = self._choose_kind(rng)
                     attempt = self._send_request(
-                        channel, self._choose_kind(rng), process.name, idle_seconds, is_after_close
+                        channel,
+                        kind,
+                        process.name,
+                        idle_seconds,
+                        is_after_close,
+                        self._draw_break(rng, kind),
                     )
                     is_after_close = attempt.is_closing
                     if not attempt.is_whole or (
@@ -449,6 +512,46 @@
                         break
                     gevent.sleep(REQUEST_INTERVAL_SECONDS * rng.uniform(0.5, 1.5))
                     idle_seconds = time.monotonic() - attempt.ended_at
+            if attempt is not None and attempt.kind == "classify" and attempt.events():
+                self._take_up(rng, attempt)
+
+    def _draw_break(self, rng: random.Random, kind: str, first: int = 1) -> int:
+        """Return the event after which a caller's connection breaks, 0 if it does not.
+
+        Args:
+          rng: Random numbers of the caller.
+          kind: Kind of the request.
+          first: First event that the caller expects.
+        """
+        if kind != "classify" or first >= soak_checker.EVENTS_PER_STREAM:
+            return 0
+        if rng.randrange(BROKEN_STREAM_RATIO):
+            return 0
+        return rng.randrange(first, soak_checker.EVENTS_PER_STREAM)
+
+    def _take_up(self, rng: random.Random, attempt: soak_checker.RequestAttempt) -> None:
+        """Take up a stream that has broken off, at any router."""
+        attempts = [attempt]
+        for _ in range(MAX_TAKE_UPS):
+            if self.is_finished or attempts[-1].is_whole:
+                return
+            gevent.sleep(rng.uniform(0.0, TAKE_UP_PAUSE_SECONDS))
+            process = rng.choice(self.processes)
+            host, _, port = process.listen_addresses["front"].rpartition(":")
+            following = max(n for found in attempts for n, _ in found.events()) + 1
+            try:
+                with socket.create_connection((host, int(port)), 1.0) as sock:
+                    sock.settimeout(STREAM_DEADLINE_MS / 1000 + 1.0)
+                    found = self._send_request(
+                        http1.Channel(sock),
+                        attempt.kind,
+                        process.name,
+                        last=self._draw_break(rng, attempt.kind, following),
+                        earlier=tuple(attempts),
+                    )
+                    attempts.append(found)
+            except OSError:
+                continue
 
     def _probe(self, process: GatewayProcess, kind: str) -> int:
         """Send one request on a new connection and return the status, 0 without a response."""
@@ -511,6 +614,11 @@
             gevent.sleep(seconds / 4)
             process.start()
 
+    def _lose_power(self, process, worker, seconds) -> None:
+        """Kill all gateways at once and start them again."""
+        running = [gevent.spawn(self._kill, found, worker, seconds) for found in self.processes]
+        gevent.joinall(running, raise_error=True)
+
     def _pause(self, process, worker, seconds) -> None:
         process.is_paused = True
         process.signal(signal.SIGSTOP)
@@ -605,12 +713,19 @@
         if worker.proxy.is_down:
             worker.proxy.bring_up()
 
-    def _replace_worker(self, process, worker, seconds) -> None:
-        """Start another endpoint, then drain an endpoint and remove it from the store."""
+    def _replace_worker(self, process, worker, seconds, software: str = "") -> None:
+        """Start another endpoint, then drain an endpoint and remove it from the store.
+
+        Args:
+          process: Gateway, which is not affected.
+          worker: The endpoint.
+          seconds: Not used.
+          software: Version of the other endpoint's software, empty for the same one.
+        """
         if worker.identity not in self.workers:
             return
         name = f"{worker.service}-n{next(self.numbers)}"
-        self._add_worker(name, worker.service, worker.weights)
+        self._add_worker(name, worker.service, worker.weights, software or worker.software)
         gevent.sleep(0.5)
         if self.workers.pop(worker.identity, None) is None:
             # Another fault has replaced it meanwhile.
@@ -618,11 +733,40 @@
         self.removed_workers.append(worker)
         worker.state = "draining"
         self._write_entry(worker)
+        self._record_software_end(worker)
         self.history.draining_since[worker.identity] = time.monotonic()
         gevent.sleep(soak_checker.DRAIN_PROPAGATION_SECONDS + 1.0)
         del self.registered[worker.identity]
         self.store.remove("servers", worker.identity)
 
+    def _draw_release(self) -> tuple[RecordingWorker, str]:
+        """Return a model endpoint and another version of its software."""
+        worker = self.random.choice([found for found in self.workers.values() if found.weights])
+        others = [version for version in SOFTWARE_VERSIONS if version != worker.software]
+        return worker, self.random.choice(others)
+
+    def _release(self, process, worker, seconds) -> None:
+        """Replace a model endpoint by one with another version of the software."""
+        worker, software = self._draw_release()
+        self._replace_worker(process, worker, seconds, software)
+
+    def _reinstall(self, process, worker, seconds) -> None:
+        """Restart a model endpoint with other software under its identity."""
+        worker, software = self._draw_release()
+        if worker.proxy.is_down:
+            return
+        worker.proxy.take_down()
+        self._record_software_end(worker)
+        gevent.sleep(seconds / 4)
+        worker.software = software
+        worker.started_at_ms += 1
+        if worker.proxy.is_down:
+            worker.proxy.bring_up()
+        gevent.sleep(max(0.0, self.random.uniform(-1, 1) * MAX_ENTRY_DELAY_SECONDS))
+        if worker.identity in self.workers:
+            self._write_entry(worker)
+            self._record_software(worker)
+
     def _announce_leaving(self, process, worker, seconds) -> None:
         """Let an endpoint announce that it leaves, until its next incarnation starts.
 
@@ -715,6 +859,8 @@
             violations = self._check_recovery()
             self.is_finished = True
             gevent.joinall([*callers, *helpers], timeout=STREAM_DEADLINE_MS / 1000 + 2.0)
+            for line in soak_checker.mixed_streams(self.history):
+                print(line, file=sys.stderr)
             return violations + soak_checker.check(self.history)
         finally:
             self._stop_all()
@@ -773,6 +919,7 @@
 FAULTS = {
     "terminate": SoakRun._terminate,
     "kill": SoakRun._kill,
+    "power": SoakRun._lose_power,
     "pause": SoakRun._pause,
     "reload": SoakRun._reload,
     "cut": SoakRun._drop_traffic,
@@ -786,6 +933,8 @@
     "crash": SoakRun._crash_worker,
     "poison": SoakRun._add_crashing_part,
     "replace": SoakRun._replace_worker,
+    "release": SoakRun._release,
+    "reinstall": SoakRun._reinstall,
     "leave": SoakRun._announce_leaving,
     "shed": SoakRun._shed_load,
     "silence": SoakRun._silence_streams,
--- a/features/soak_checker.py
+++ b/features/soak_checker.py
@@ -4,7 +4,8 @@
   TWICE: A filing or draft, which is non-idempotent, is executed at most once; continuations from a
     KV backup do not count.
   REFUSED: A filing or draft that was answered as not executed was never executed.
-  ORDER: Streams have consecutive events, and a complete stream has all of them.
+  ORDER: Streams have consecutive events, and a complete stream has all of them, over all attempts of
+    a caller that takes its stream up. At most two streams hold events of two software versions.
   MIXED: A response belongs to its request.
   UNASKED: Endpoints execute only requests that a caller sent, under the caller's team and without
     its key.
@@ -14,6 +15,8 @@
   LOST: No response is lost or truncated without a fault that explains it. A request without any
     byte of a response is excused only by the end or pause of its router, whatever else happens, or
     if it was sent after a response that announced the close of the connection and was not read.
+    Streams that are taken up go on at least half as often as new ones begin, while two endpoints of
+    their software version serve.
   DRAIN: Draining endpoints receive no new requests after the propagation time, nor does an
     endpoint of which the router has passed on a response that announces that it leaves.
   BUDGET: Retries stay within the retry budget, and at most two requests of a router reach an
@@ -23,9 +26,10 @@
 
 import collections
 import dataclasses
+import math
 import re
 
-EVENT_ID_PATTERN = re.compile(rb"id: (\d+)\n")
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: token-\d+(?: (\S+))?\n\n")
 ROUTE_VERSION_PATTERN = re.compile(r"/late(\d+)/")
 EVENTS_PER_STREAM = 6
 # Statuses which guarantee that the request was not executed and never will be.
@@ -44,19 +48,29 @@
 CLOSE_RACE_SECONDS = 0.2
 CLOSE_RACE_IDLE_FRACTION = 0.8
 # Faults that end or stop the process of a router, or the whole machine.
-PROCESS_FAULTS = frozenset({"kill", "pause", "stall"})
+PROCESS_FAULTS = frozenset({"kill", "power", "pause", "stall"})
+STREAM_KINDS = frozenset({"classify", "draft"})
+# Streams that may hold events of two software versions.
+TOLERATED_MIXED_STREAMS = 2
+# Streams that have to be taken up before their share that goes on is judged, the least share in
+# relation to that of new streams, and the endpoints of the version that have to serve.
+MIN_TAKE_UPS = 12
+MIN_TAKE_UP_RATIO = 0.5
+MIN_TAKE_UP_ENDPOINTS = 2
+# Time that an endpoint has to have served, as its entry may reach routers late.
+ENTRY_PROPAGATION_SECONDS = 2.0
 NON_IDEMPOTENT_KINDS = frozenset({"filing", "draft"})
 # Time after the end of such a fault in which requests may still be cut off by it.
 PROCESS_FAULT_MARGIN_SECONDS = 0.5
 # Faults that affect nothing that the checker judges, so that they excuse nothing.
-HARMLESS_FAULTS = frozenset({"odd", "leave", "shed", "silence"})
+HARMLESS_FAULTS = frozenset({"odd", "leave", "shed", "silence", "release"})
 # Time for which the effects of a fault may last after its end.
 STABILISATION_SECONDS = 3.0
 # Crashes by one prompt part before routers must keep it from endpoints, and late ones after that.
 TOLERATED_CRASHES = 5
 TOLERATED_LATE_CRASHES = 3
 # Faults that end the process of a router.
-LIFETIME_FAULTS = frozenset({"terminate", "kill"})
+LIFETIME_FAULTS = frozenset({"terminate", "kill", "power"})
 # Faults after which a router need not know what endpoints announced before.
 RESTART_FAULTS = LIFETIME_FAULTS | PROCESS_FAULTS
 # Requests of a router that may reach an endpoint in a pause for which it has asked, and the time
@@ -69,7 +83,9 @@
 # Time after a response by a configuration in which requests may still be handled by an older one.
 DOWNGRADE_SECONDS = 0.25
 # Faults that affect endpoints or callers only, so that they excuse no router.
-ENDPOINT_FAULTS = frozenset({"spoil", "crash", "replace", "weights", "configure", "poison"})
+ENDPOINT_FAULTS = frozenset(
+    {"spoil", "crash", "replace", "reinstall", "weights", "configure", "poison"}
+)
 
 
 @dataclasses.dataclass
@@ -93,6 +109,10 @@
       is_after_close: Whether the response before announced that the connection would be closed.
       is_rejected: Whether the router's VM rejected bytes of the request, as the connection was
         closed before they were read.
+      resumes: Id of the attempt that brought the first event of the stream that is taken up, empty
+        for a new request.
+      last_event_id: Event after which the stream is taken up, 0 for a new request.
+      is_abandoned: Whether the caller's connection broke before the response ended.
     """
 
     id: str
@@ -109,6 +129,32 @@
     idle_seconds: float = 0.0
     is_after_close: bool = False
     is_rejected: bool = False
+    resumes: str = ""
+    last_event_id: int = 0
+    is_abandoned: bool = False
+
+    def events(self) -> list[tuple[int, str]]:
+        """Return the number and the software version of each complete event of a stream."""
+        if self.status != 200 or self.kind not in STREAM_KINDS:
+            return []
+        return [(int(n), version.decode()) for n, version in EVENT_PATTERN.findall(self.body)]
+
+
+@dataclasses.dataclass
+class SoftwareInterval:
+    """Time in which an endpoint serves with one version of its software.
+
+    Attributes:
+      endpoint: Identity of the endpoint.
+      software: The version.
+      started_at: Monotonic time in seconds at which it was registered.
+      ended_at: Monotonic time in seconds at which it began to drain or ended.
+    """
+
+    endpoint: str
+    software: str
+    started_at: float
+    ended_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True)
@@ -225,6 +271,7 @@
       draining_since: Monotonic time in seconds at which an endpoint began to drain, by identity.
       idle_timeouts: Idle timeouts of the configurations in seconds, in the order of the run.
       part_crashes: Request id and monotonic time of each crash on a prompt part, by part.
+      software: Times in which model endpoints served with a version of their software.
     """
 
     attempts: list[RequestAttempt] = dataclasses.field(default_factory=list)
@@ -236,6 +283,7 @@
     draining_since: dict[str, float] = dataclasses.field(default_factory=dict)
     idle_timeouts: list[float] = dataclasses.field(default_factory=lambda: [5.0])
     part_crashes: dict[str, list[tuple[str, float]]] = dataclasses.field(default_factory=dict)
+    software: list[SoftwareInterval] = dataclasses.field(default_factory=list)
 
     def is_undisturbed(
         self,
@@ -308,7 +356,7 @@
         violations += _check_execution(execution, attempts_by_id.get(execution.id), history)
     violations += _check_retry_budget(history) + _check_part_crashes(history)
     violations += _check_configuration_order(history) + _check_announcements(history)
-    violations += _check_pauses(history)
+    violations += _check_pauses(history) + _check_streams(history) + _check_take_ups(history)
     return violations + _check_fencing(history)
 
 
@@ -329,19 +377,84 @@
         )
     if attempt.status != 200:
         return violations
-    if attempt.kind in ("classify", "draft"):
-        numbers = [int(n) for n in EVENT_ID_PATTERN.findall(attempt.body)]
-        if numbers != list(range(1, len(numbers) + 1)):
-            violations.append(f"ORDER {attempt.id} has the events {numbers}")
-        if attempt.is_whole and len(numbers) != EVENTS_PER_STREAM:
-            violations.append(f"ORDER {attempt.id} is complete with the events {numbers}")
-    elif attempt.is_whole and not attempt.body.endswith(f" ran {attempt.target}".encode()):
+    is_foreign = not attempt.body.endswith(f" ran {attempt.target}".encode())
+    if attempt.kind not in STREAM_KINDS and attempt.is_whole and is_foreign:
         violations.append(
             f"MIXED {attempt.id} requested {attempt.target} and received {attempt.body[:60]!r}"
         )
     return violations
 
 
+def _streams(history: History) -> dict[str, list[RequestAttempt]]:
+    """Return the attempts of each stream that has begun, by the id of the first one."""
+    streams = collections.defaultdict(list)
+    for attempt in history.attempts:
+        if attempt.kind in STREAM_KINDS and attempt.status == 200:
+            streams[attempt.resumes or attempt.id].append(attempt)
+    return streams
+
+
+def mixed_streams(history: History) -> list[str]:
+    """Describe the streams that hold events of several software versions."""
+    found = []
+    for first_id, attempts in _streams(history).items():
+        if len({software for attempt in attempts for _, software in attempt.events()}) > 1:
+            parts = ", ".join(f"{a.id} at {a.router} {a.events()}" for a in attempts)
+            found.append(f"{first_id} has events of several software versions: {parts}")
+    return found
+
+
+def _check_streams(history: History) -> list[str]:
+    """Check the joined events of each stream, as its caller sees them."""
+    violations = []
+    for first_id, attempts in _streams(history).items():
+        numbers = [number for attempt in attempts for number, _ in attempt.events()]
+        if numbers != list(range(1, len(numbers) + 1)):
+            violations.append(f"ORDER {first_id} has the events {numbers}")
+        if any(a.is_whole for a in attempts) and len(numbers) != EVENTS_PER_STREAM:
+            violations.append(f"ORDER {first_id} is complete with the events {numbers}")
+    mixed = mixed_streams(history)
+    if len(mixed) > TOLERATED_MIXED_STREAMS:
+        violations += [f"ORDER {line}" for line in mixed]
+    return violations
+
+
+def _check_take_ups(history: History) -> list[str]:
+    """Check that streams go on when they are taken up, while endpoints of their version serve."""
+    software = {
+        first_id: attempts[0].events()[0][1]
+        for first_id, attempts in _streams(history).items()
+        if attempts[0].events()
+    }
+    begun: list[bool] = []
+    went_on: list[bool] = []
+    for attempt in history.attempts:
+        if attempt.kind != "classify" or not history.is_undisturbed(
+            attempt.router, attempt.sent_at, attempt.ended_at
+        ):
+            continue
+        if not attempt.resumes:
+            begun.append(bool(attempt.events()))
+            continue
+        serving = {
+            interval.endpoint
+            for interval in history.software
+            if interval.software == software.get(attempt.resumes)
+            and interval.started_at + ENTRY_PROPAGATION_SECONDS <= attempt.sent_at
+            and interval.ended_at >= attempt.ended_at
+        }
+        if len(serving) >= MIN_TAKE_UP_ENDPOINTS:
+            went_on.append(bool(attempt.events()))
+    if len(went_on) < MIN_TAKE_UPS or not begun:
+        return []
+    if sum(went_on) / len(went_on) >= MIN_TAKE_UP_RATIO * sum(begun) / len(begun):
+        return []
+    return [
+        f"LOST {sum(went_on)} of {len(went_on)} streams went on when they were taken up, and "
+        f"{sum(begun)} of {len(begun)} new ones began"
+    ]
+
+
 def _check_rejection(attempt: RequestAttempt, history: History) -> list[str]:
     if attempt.status in (401, 403, 404, 400) and attempt.kind != "late":
         return [f"DENIED {attempt.id} {attempt.target} got {attempt.status}"]
@@ -357,7 +470,7 @@
     attempt: RequestAttempt, executions: list[Execution], history: History
 ) -> list[str]:
     is_incomplete = attempt.status == 0 or not attempt.is_whole
-    if _is_close_race(attempt, executions, history):
+    if attempt.is_abandoned or _is_close_race(attempt, executions, history):
         return []
     if attempt.status == 0 and not _is_process_disturbed(attempt, history):
         return [
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -21,6 +21,12 @@
     context.violations = soak.run_seed(seed, seconds)
 
 
+@when("the soak runs seed {seed:d} with only {faults} for {seconds:g} seconds")
+def step_run_faults(context, seed, faults, seconds):
+    fault_names = tuple(faults.split(" and "))
+    context.violations = soak.run_seed(seed, seconds, fault_names=fault_names)
+
+
 BROKEN_GATEWAYS = {
     "close connections unanswered beside a configuration": "configuration",
     "close connections unanswered after SIGHUP": "hangup",
@@ -29,6 +35,8 @@
     "send requests to endpoints that leave": "leaving",
     "send requests to endpoints that ask for a pause": "pause",
     "give up streams of silent endpoints": "silence",
+    "continue streams at any software version": "software",
+    "refuse streams that callers take up": "refusal",
 }
 
 
@@ -132,9 +140,14 @@
             assert violations == [], (line, violations)
 
 
-def stream_body(*numbers: int) -> bytes:
-    """Return the body of a stream that has the events of these numbers."""
-    return b"".join(f"id: {n}\ndata: token-{n}\n\n".encode() for n in numbers)
+def stream_body(*numbers: int, software: str = "v1") -> bytes:
+    """Return the body of a stream that has the events of these numbers.
+
+    Args:
+      *numbers: The numbers.
+      software: Software version of the endpoint that made them.
+    """
+    return b"".join(f"id: {n}\ndata: token-{n} {software}\n\n".encode() for n in numbers)
 
 
 def add_request(
@@ -270,6 +283,76 @@
     context.stream.body = stream_body(1, 2, 3, 4, 5)
 
 
+@when("{count:d} responses hold events of two software versions")
+def step_mixed_responses(context, count):
+    body = stream_body(1, 2) + stream_body(3, 4, 5, 6, software="v2")
+    for number in range(50, 50 + count):
+        add_request(context, number, "classify", body)
+
+
+def add_taken_up(context, number: int, body: bytes, **changes) -> None:
+    """Add a stream whose caller's connection breaks after event 2, and the attempt to take it up.
+
+    Args:
+      context: Context of the scenario.
+      number: Number of the first request.
+      body: Body of the second response.
+      **changes: Fields of the second attempt that differ from the default.
+    """
+    first = add_request(
+        context, number, "classify", stream_body(1, 2), is_whole=False, is_abandoned=True
+    )
+    values = {"target": first.target, "resumes": first.id, "last_event_id": 2} | changes
+    add_request(context, number + 100, "classify", body, **values)
+
+
+@when("{count:d} streams go on at another software version when they are taken up")
+def step_mixed_streams(context, count):
+    for number in range(50, 50 + count):
+        add_taken_up(context, number, stream_body(3, 4, 5, 6, software="v2"))
+
+
+@when("1 stream goes on with an event that its caller has when it is taken up")
+def step_repeated_event(context):
+    add_taken_up(context, 50, stream_body(2, 3, 4, 5, 6))
+
+
+@when("1 stream goes on without an event when it is taken up")
+def step_skipped_event(context):
+    add_taken_up(context, 50, stream_body(4, 5, 6))
+
+
+def add_software(context, count: int) -> None:
+    """Add endpoints of software version v1 that serve all the time."""
+    context.history.software += [
+        soak_checker.SoftwareInterval(f"lm-{number}", "v1", HISTORY_START - 10.0)
+        for number in range(count)
+    ]
+
+
+@when("{count:d} streams go on at their software version when they are taken up")
+def step_joined_streams(context, count):
+    add_software(context, 2)
+    for number in range(50, 50 + count):
+        add_taken_up(context, number, stream_body(3, 4, 5, 6))
+
+
+@when(
+    "{count:d} streams are refused when they are taken up, while {serving:d} endpoints of their "
+    "version serve"
+)
+def step_refused_streams(context, count, serving):
+    add_software(context, serving)
+    for number in range(50, 50 + count):
+        add_taken_up(context, number, b"", status=503)
+        context.history.executions.pop()
+
+
+@when("a stream ends as its caller's connection breaks")
+def step_abandoned(context):
+    add_request(context, 50, "classify", stream_body(1), is_whole=False, is_abandoned=True)
+
+
 @when("a request is executed that no caller sent")
 def step_unknown_request(context):
     context.history.executions.append(execution_of(context.filing, id="q999"))
