--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -8,7 +8,7 @@
 import gevent.server
 
 from bronzemux import clock as clocks
-from bronzemux import errors, http_client, interruption, logs
+from bronzemux import errors, http_server, interruption, logs
 from bronzemux.gateway import admission, failures, forwarder, http1, model
 from bronzemux.gateway import job as jobs
 
@@ -129,7 +129,8 @@
     """HTTP server that accepts the requests of callers.
 
     Attributes:
-      is_stopping: Whether connections are closed after their current response.
+      is_stopping: Whether responses announce that their connection is closed after them.
+      is_accepting: Whether new connections are accepted.
       in_flight: Number of requests in flight.
       last_request_at: Monotonic seconds at which a request last arrived.
       open_channels: All connections of callers.
@@ -150,6 +151,7 @@
         self.clock = clock
         self.repeat_filter = logs.RepeatFilter(clock)
         self.is_stopping = False
+        self.is_accepting = True
         self.in_flight = 0
         self.last_request_at = clock.monotonic()
         self.open_channels: set[http1.Channel] = set()
@@ -165,11 +167,12 @@
         self.server.start()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and all idle connections."""
-        self.server.stop_accepting()
+        """Accept the connections that are queued, then close the listening socket and idle ones."""
+        self.is_accepting = False
+        http_server.accept_queued(self.server, LISTEN_BACKLOG)
         self.server.close()
         for channel in list(self.idle_channels):
-            close_idle(channel.sock)
+            http_server.close_idle(channel.sock)
 
     def interrupt_requests(self) -> None:
         """End all requests in flight, as the process is about to exit.
@@ -247,16 +250,20 @@
         self.idle_channels.add(channel)
         try:
             while True:
-                seconds = self._limits().idle_timeout_seconds
+                seconds = self._idle_seconds()
                 channel.sock.settimeout(max(0.0, idle_since + seconds - self.clock.monotonic()))
                 try:
                     return channel.fill()
                 except TimeoutError:
-                    if self._limits().idle_timeout_seconds <= seconds:
+                    if self._idle_seconds() <= seconds:
                         return False
         finally:
             self.idle_channels.discard(channel)
 
+    def _idle_seconds(self) -> float:
+        seconds = self._limits().idle_timeout_seconds
+        return seconds if self.is_accepting else min(seconds, http_server.LAST_REQUEST_SECONDS)
+
     def _read_request(self, channel: http1.Channel, limits: model.CallerLimits):
         channel.sock.settimeout(limits.head_timeout_seconds)
         with self._limit_reading(channel, limits.head_timeout_seconds):
@@ -307,7 +314,8 @@
         finally:
             self.scopes.discard(scope)
             self.in_flight -= 1
-        return not caller.is_closing and not self.is_stopping
+        # Without the announcement, the caller may already have sent its next request.
+        return not caller.is_closing
 
     def _forward(self, request: model.Request, caller: CallerConnection, arrived_at: float) -> None:
         job = None
@@ -386,13 +394,3 @@
         retry_after = None if may_have_run else admission.RETRY_AFTER_SECONDS
         self.forwarder.components.meters.refusals.labels(str(status)).inc()
         caller.refuse(request_id, status, "the router failed to process the request", retry_after)
-
-
-def close_idle(sock) -> None:
-    """Shut down a caller's idle connection, unless it has unread bytes of a new request."""
-    if not http_client.is_open_and_idle(sock):
-        return
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        return
--- a/features/web.feature
+++ b/features/web.feature
@@ -38,6 +38,18 @@
     When a request on a kept connection arrives during a pause of 1 second
     Then the status is 200
 
+  # Guards against a request that is cut off because the time for its headers passed during a pause.
+  Scenario Outline: A request whose last part arrived during a pause is served
+    Given routers wait 0.3 seconds for headers
+    When the last <part> of a request arrives during a pause of 1 second
+    Then the status is 200
+
+    Examples:
+      | part                         |
+      | half of the request line     |
+      | half of the headers          |
+      | line end of the headers      |
+
   Scenario: Requests that are sent at once are answered one after the other
     Given routers wait 0.3 seconds for a request
     When a caller sends three requests to router 1 at once
@@ -46,3 +58,26 @@
   Scenario: A caller that closes its sending side gets the answer
     When a caller sends a plain chat and closes its sending side
     Then the status is 200
+
+  # Guards against a caller that waits until after its deadline when the task that assigns endpoints fails.
+  Scenario Outline: The dispatcher fails <moment>
+    Given the dispatcher fails <moment>
+    When router 1 gets a plain chat with 3 seconds to its deadline
+    Then the status is 503 and the error is "unavailable_error"
+    And the outcome is "not-run"
+    And it was answered within 0.5 seconds
+
+    Examples:
+      | moment                               |
+      | as it admits a request               |
+      | as it chooses an endpoint            |
+      | as it assigns an endpoint            |
+      | while a request waits in its queue   |
+
+  # Guards against a request that is refused only a second after its deadline while the task restarts.
+  Scenario: A request whose deadline passes while the dispatcher restarts is refused soon after
+    Given the dispatcher takes 5 seconds to restart
+    When router 1 gets a plain chat with 0.5 seconds to its deadline
+    Then the status is 503 and the error is "overloaded_error"
+    And the outcome is "not-run"
+    And it was answered within 1.2 seconds
