Test a router that has not heard of a new software version yet

What callers got: at a router whose links to the store and to the other routers were cut for less than 3 s, streams that the new version had begun elsewhere went on at the old one.

Cause: `SoftwareHistory.only_version` holds while the last contact is at most MAX_GAP_SECONDS (3 s) old, and `hears_follower` adds 1 s. A version that came meanwhile is not known, though another router may have begun streams at it. The knowledge that one version serves alone is valid at the time of the contact, not for streams that began after it.

--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -163,6 +163,25 @@
       | no attempt          | all routers lose power |
       | their first attempt | all routers lose power |
 
+  # Guards against a router that has not heard of a new version yet and takes its old one for the
+  # only one that can have begun a stream.
+  Scenario Outline: A router that hears nothing does not take its version for the only one
+    Given a platform on which streams last at most 1 second
+    And the endpoints "lm-1 lm-2" of software "v1"
+    And two gateways whose links can be cut
+    And the endpoints have served for 8 seconds
+    When the links of the second gateway are cut for <seconds> seconds
+    And the endpoints "lm-3 lm-4" of "v2" reach the first gateway only
+    And the streams of 6 callers from "lm-3" break after event 2
+    And the callers return at another router and name <name>
+    Then each caller is refused with 503 within 1 second, or goes on at its version
+
+    Examples:
+      | seconds | name                |
+      | 0       | their first attempt |
+      | 0       | no attempt          |
+      | 1.5     | their first attempt |
+
   # Guards against routers that see only the new version after a power loss and take it for the one
   # that began a stream.
   Scenario Outline: A stream does not go on at the version that is left after a power loss
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -10,7 +10,7 @@
 
 from bronzemux.gateway import http1
 from bronzemux.platform import standin_store, standin_worker
-from features import gateway_support
+from features import gateway_support, soak_proxy
 
 EVENT_SECONDS = 0.1
 # Above the pause after which a router looks for another endpoint.
@@ -233,6 +233,40 @@
     context.site.workers[name].restart(software)
 
 
+@given("two gateways whose links can be cut")
+def step_gateways_with_links(context):
+    context.peer_proxies = []
+    context.store_proxy = soak_proxy.Proxy(context.site.store.address)
+    stores = (context.site.store.address, context.store_proxy.address)
+    for store_address in stores:
+        peer_address = gateway_support.free_address()
+        proxy = soak_proxy.Proxy(peer_address)
+        context.site.add_gateway(
+            store_address=store_address,
+            peer_address=peer_address,
+            advertised_peer_address=proxy.address,
+            seeds=tuple(found.address for found in context.peer_proxies),
+        )
+        context.peer_proxies.append(proxy)
+    wait_for_endpoints(context)
+
+
+@when("the links of the second gateway are cut for {seconds:g} seconds")
+def step_cut(context, seconds):
+    for proxy in (*context.peer_proxies, context.store_proxy):
+        proxy.is_dropping_to_target = proxy.is_dropping_to_client = True
+    gevent.sleep(seconds)
+
+
+@when('the endpoints "{names}" of "{software}" reach the first gateway only')
+def step_reach_first(context, names, software):
+    register(context, names, software)
+    first, second = context.site.gateways
+    expected = set(context.site.workers)
+    gateway_support.wait_for(lambda: set(first.endpoints.states) == expected)
+    assert not set(names.split()) & set(second.endpoints.states)
+
+
 # One response
 
 
