Test routers whose clock is wrong while two software versions serve

What callers got, on: after all routers lost power and came back with clocks 60 s ahead, streams of a version whose last endpoint had just left went on at the other version ("A router whose clock is wrong does not forget ...", rows 1 and 2). With a clock 60 s behind, a stream that an endpoint began which had restarted under its identity, and whose entry was still the one of before, went on at the older entry's version ("... does not continue a stream at an older entry's version", row 2; row 1, a right clock, passes).

The endpoint that leaves is now given the time in which its leaving is written, without which the power loss came before the row was written, and the scenario passed.

"A router that hears nothing ..." has a fourth row, a cut of 4 s, which passes: the router has noticed it by then.

--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -181,6 +181,7 @@
       | 0       | their first attempt |
       | 0       | no attempt          |
       | 1.5     | their first attempt |
+      | 4       | no attempt          |
 
   # Guards against routers that see only the new version after a power loss and take it for the one
   # that began a stream.
@@ -312,3 +313,43 @@
     And the endpoint "lm-1" restarts with software "v2", and its entry stays
     When 4 callers stream "/classify/" from "lm-1", whose entry is written before it breaks off
     Then each caller got the events 1 to 2 of software "v2" and the end within 2 seconds
+
+  # Guards against a version that is forgotten too early because the clock of a VM is wrong.
+  Scenario Outline: A router whose clock is wrong does not forget a version that began streams
+    Given a platform on which streams last at most 1 second
+    And the endpoints "lm-1" of software "v1"
+    And the endpoints "lm-3 lm-4" of software "v2"
+    And a gateway
+    And another gateway
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the endpoint "lm-1" leaves
+    And all routers lose power, and their clocks are then <seconds> seconds ahead
+    And the callers return at the first router and name <name>
+    Then each caller is refused with 503 within 1 second, and nothing ran for it
+
+    Examples:
+      | seconds | name                |
+      | 60      | their first attempt |
+      | 60      | no attempt          |
+      | -60     | their first attempt |
+      | -60     | no attempt          |
+
+  # Guards against an endpoint that seems to have restarted after the start of a stream because the
+  # clock of a VM is wrong.
+  Scenario Outline: A router whose clock is wrong does not continue a stream at an older entry's version
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2 lm-3" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    And the clock of the first router is <seconds> seconds ahead
+    And the endpoint "lm-1" restarts with software "v2", and its entry stays
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the entry of "lm-1" is written
+    And the callers return at the first router
+    Then each caller is refused with 503 within 1 second, or goes on at its version
+
+    Examples:
+      | seconds |
+      | 0       |
+      | -60     |
+      | 60      |
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -1,6 +1,7 @@
 """Support for scenarios with complete gateways on loopback sockets and a stand-in platform."""
 
 import dataclasses
+import datetime
 import itertools
 import socket
 
@@ -101,6 +102,21 @@
     is_whole: bool = False
 
 
+class SteppedClock(clock.BootClock):
+    """Clock of a VM whose time of day is wrong.
+
+    Attributes:
+      step_seconds: Seconds by which its time of day is ahead.
+    """
+
+    def __init__(self, step_seconds: float = 0.0):
+        self.step_seconds = step_seconds
+
+    def now(self) -> datetime.datetime:
+        """Return the wrong UTC time."""
+        return super().now() + datetime.timedelta(seconds=self.step_seconds)
+
+
 class Site:
     """The store, the endpoints and the gateways of one scenario."""
 
@@ -153,9 +169,14 @@
             wait_for(started.is_ready)
         return started
 
-    def restart_gateway(self, index: int) -> gateway.Gateway:
-        """Start a gateway that was stopped, with the same settings and nothing in memory."""
-        started = start_gateway(self.gateways[index].settings)
+    def restart_gateway(self, index: int, step_seconds: float = 0.0) -> gateway.Gateway:
+        """Start a gateway that was stopped, with the same settings and nothing in memory.
+
+        Args:
+          index: Index of the gateway.
+          step_seconds: Seconds by which the clock of its VM is ahead.
+        """
+        started = start_gateway(self.gateways[index].settings, step_seconds)
         self.gateways[index] = started
         wait_for(started.is_ready)
         return started
@@ -216,9 +237,15 @@
         return http1.encode_head(f"{method} {path} HTTP/1.1", lines) + body
 
 
-def start_gateway(config: settings.GatewaySettings) -> gateway.Gateway:
-    """Start a gateway with some settings."""
-    started = gateway.Gateway(config, assembly.build_platform(config), clock.BootClock())
+def start_gateway(config: settings.GatewaySettings, step_seconds: float = 0.0) -> gateway.Gateway:
+    """Start a gateway.
+
+    Args:
+      config: Its settings.
+      step_seconds: Seconds by which the clock of its VM is ahead.
+    """
+    found_clock = SteppedClock(step_seconds)
+    started = gateway.Gateway(config, assembly.build_platform(config), found_clock)
     started.start()
     return started
 
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -16,7 +16,7 @@
 # Above the pause after which a router looks for another endpoint.
 PAUSE_SECONDS = 1.4
 SILENCE_SECONDS = 30.0
-# In this time a router writes down what it has to remember of a stream.
+# In this time a router writes down what it has to remember of a stream, or of a version.
 RECORDED_SECONDS = 0.5
 # Above the prompt tokens that an endpoint prefills within a request's objective.
 OVERLOAD_TOKENS = 1_000_000
@@ -230,7 +230,14 @@
 
 @given('the endpoint "{name}" restarts with software "{software}", and its entry stays')
 def step_restart(context, name, software):
-    context.site.workers[name].restart(software)
+    worker = context.site.workers[name]
+    worker.restart(software)
+    worker.started_at_ms = int(time.time() * 1000)
+
+
+@given("the clock of the first router is {seconds:g} seconds ahead")
+def step_clock(context, seconds):
+    context.site.gateways[0].clock.step_seconds = seconds
 
 
 @given("two gateways whose links can be cut")
@@ -368,13 +375,18 @@
     lose_power(context, lambda: None)
 
 
-def lose_power(context, change) -> None:
+@when("all routers lose power, and their clocks are then {seconds:g} seconds ahead")
+def step_power_loss_clocks(context, seconds):
+    lose_power(context, lambda: None, seconds)
+
+
+def lose_power(context, change, step_seconds: float = 0.0) -> None:
     """Stop all routers without notice, change something, and start them again."""
     for found in context.site.gateways:
         gateway_support.stop_gateway(found)
     change()
     for index in range(len(context.site.gateways)):
-        context.site.restart_gateway(index)
+        context.site.restart_gateway(index, step_seconds)
     wait_for_endpoints(context)
 
 
@@ -414,6 +426,7 @@
     gevent.sleep(0.3)
     unregister(context, name)
     wait_for_endpoints(context)
+    gevent.sleep(RECORDED_SECONDS)
 
 
 def write_entry(context, name: str) -> None:
