List the versions in service without times, and read the store before a guess

The class is the same as that of the fault: a fact about the past that was inferred and not known.

Change: the row lists versions in service and those that may still have streams, without times; what it lists counts as seen at the read. An incarnation that other software replaced under its identity is never certain. A caller that returns is served from memory or by its row, and by the only version only if the store confirms it. Origins that were inferred are not stored. Rows of routers that ended are found by two scans.

--- a/bronzemux/gateway/continuation.py
+++ b/bronzemux/gateway/continuation.py
@@ -20,8 +20,6 @@
 if typing.TYPE_CHECKING:
     from bronzemux.gateway import job as jobs
 
-# Most by which the clocks of an endpoint and of a router differ.
-CLOCK_TOLERANCE_MS = 2000
 # Pauses before the reads of an origin in the store: it may be on its way from another router.
 READ_PAUSES_SECONDS = (0.0, 0.1)
 # Longer than the interval of the task that reads the history.
@@ -37,6 +35,9 @@
     def read(self, key: str) -> stream_origins.StreamOrigin | None:
         """Return the origin under a key, None when there is none; see `origin_store`."""
 
+    def read_versions(self, service: str) -> software_history.StoredVersions | None:
+        """Return what is stored about the versions of a service, None when nothing is."""
+
 
 class Continuation:
     """Knows the origins of streams, and decides by them.
@@ -49,7 +50,7 @@
       metrics: Metrics of the gateway.
 
     Attributes:
-      reader: Reads the origins that other routers stored, None before it is set.
+      reader: Reads what other routers stored; set when the gateway is assembled.
     """
 
     def __init__(
@@ -112,24 +113,18 @@
         resumes = job.request.resumes
         key = _key(job, resumes) if resumes else None
         self._await_history(job)
-        for pause in READ_PAUSES_SECONDS:
-            self.clock.sleep(pause)
-            origin = self.origins.find(key) if key is not None else None
-            if origin is not None:
-                return origin
-            only = self.history.only_version(job.service)
-            if only is not None:
-                origin = stream_origins.StreamOrigin(job.service, only)
-                if key is not None:
-                    self.origins.note(key, origin)
-                return origin
-            if key is None or self.reader is None:
-                return None
-            origin = self._read(job, key)
-            if origin is not None:
-                self.origins.note(key, origin, is_stored=True)
-                return origin
-        return None
+        origin = self.origins.find(key) if key is not None else None
+        if origin is not None:
+            return origin
+        try:
+            origin = self._read_origin(job, key) if key is not None else None
+            origin = origin or self._only_origin(job)
+        except errors.PlatformError as error:
+            logs.event("stream_origin_unread", "warning", id=job.request.id, cause=str(error))
+            self._refuse(job, "the start of the stream cannot be looked up", RETRY_AFTER_SECONDS)
+        if origin is not None and key is not None:
+            self.origins.note(key, origin, is_stored=True)
+        return origin
 
     def _await_history(self, job: "jobs.Job") -> None:
         """Wait for a short time until a router that has just started has read the history."""
@@ -141,12 +136,35 @@
         ):
             self.clock.sleep(HISTORY_POLL_SECONDS)
 
-    def _read(self, job: "jobs.Job", key: str) -> stream_origins.StreamOrigin | None:
-        try:
-            return self.reader.read(key)
-        except errors.PlatformError as error:
-            logs.event("stream_origin_unread", "warning", id=job.request.id, cause=str(error))
-            self._refuse(job, "the start of the stream cannot be looked up", RETRY_AFTER_SECONDS)
+    def _read_origin(self, job: "jobs.Job", key: str) -> stream_origins.StreamOrigin | None:
+        """Return the origin that the store has, None when it has none.
+
+        Raises:
+          errors.PlatformError: When the store does not answer in time.
+        """
+        for pause in READ_PAUSES_SECONDS:
+            self.clock.sleep(pause)
+            origin = self.reader.read(key)
+            if origin is not None or self.history.only_version(job.service) is not None:
+                return origin
+        return None
+
+    def _only_origin(self, job: "jobs.Job") -> stream_origins.StreamOrigin | None:
+        """Return the origin if one version began all streams, None when that is not so.
+
+        Another router may already have begun streams at a version that this one has not heard of,
+        so the store has to confirm it.
+
+        Raises:
+          errors.PlatformError: When the store does not answer in time.
+        """
+        only = self.history.only_version(job.service)
+        if only is None:
+            return None
+        stored = self.reader.read_versions(job.service)
+        if stored is not None and stored.present | stored.left != {only}:
+            return None
+        return stream_origins.StreamOrigin(job.service, only)
 
     def _refuse(self, job: "jobs.Job", message: str, retry_after: float = 0.0) -> typing.NoReturn:
         self.meters.resumptions.labels("refused").inc()
@@ -188,13 +206,13 @@
         An endpoint may restart under its identity with other software; until its entry arrives, a
         router takes it for the one before.
         """
-        state = self.cluster_state.endpoints.states.get(origin.endpoint)
-        if not origin.software or state is None:
-            return bool(origin.software)
-        entry = state.endpoint
-        is_successor = entry.started_at_ms > origin.started_at_ms
-        is_older = entry.started_at_ms > origin.begun_at_ms + CLOCK_TOLERANCE_MS
-        return not is_successor or is_older or entry.software == origin.software
+        table = self.cluster_state.endpoints
+        if not origin.software or table.was_reinstalled(origin.endpoint, origin.started_at_ms):
+            return False
+        state = table.states.get(origin.endpoint)
+        if state is None or state.endpoint.started_at_ms <= origin.started_at_ms:
+            return True
+        return state.endpoint.software == origin.software
 
 
 def _key(job: "jobs.Job", request_id: str) -> str:
--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -22,7 +22,7 @@
 PEER_LOAD_TTL_SECONDS = 1.5
 # Incarnations without an entry whose notices are kept, in case their entries come back: several
 # times the endpoints of the largest deployment.
-MAX_KEPT_NOTICES = 4096
+MAX_KEPT_INCARNATIONS = 4096
 
 
 class LoadSource(typing.NamedTuple):
@@ -335,12 +335,17 @@
       states: State of each endpoint by its identity.
       services: Services of the configuration by name.
       kept_notices: Notices of incarnations without an entry, by incarnation; the oldest first.
+      retired: Last entry of each identity that had one before, the oldest first.
+      reinstalled: Identity and start of incarnations that one with other software replaced, the
+        oldest first.
     """
 
     def __init__(self):
         self.states: dict[str, EndpointState] = {}
         self.services: Mapping[str, model.Service] = {}
         self.kept_notices: dict[str, endpoint_notices.Notices] = {}
+        self.retired: dict[str, model.Endpoint] = {}
+        self.reinstalled: dict[tuple[str, int], None] = {}
 
     def put(self, endpoint: model.Endpoint, now: float) -> bool:
         """Add or update an endpoint.
@@ -356,11 +361,28 @@
             state.notices = self.kept_notices.pop(endpoint.incarnation, state.notices)
             state.update(endpoint)
             self.states[endpoint.id] = state
+            self._record_software(endpoint)
             return True
         is_changed = known.endpoint != endpoint
         known.update(endpoint)
         return is_changed
 
+    def _record_software(self, endpoint: model.Endpoint) -> None:
+        """Record that an incarnation replaces one of other software."""
+        previous = self.retired.pop(endpoint.id, None)
+        if previous is not None and previous.software != endpoint.software:
+            self.reinstalled[(previous.id, previous.started_at_ms)] = None
+            _limit(self.reinstalled)
+
+    def was_reinstalled(self, identity: str, started_at_ms: int) -> bool:
+        """Return whether other software has replaced an incarnation under its identity.
+
+        Args:
+          identity: Identity of the endpoint.
+          started_at_ms: Unix time of the start of the incarnation in milliseconds.
+        """
+        return (identity, started_at_ms) in self.reinstalled
+
     def remove(self, key: str) -> None:
         """Remove an endpoint."""
         state = self.states.pop(key, None)
@@ -372,8 +394,9 @@
         state.is_gone = True
         if state.notices.is_kept():
             self.kept_notices[state.endpoint.incarnation] = state.notices
-        while len(self.kept_notices) > MAX_KEPT_NOTICES:
-            del self.kept_notices[next(iter(self.kept_notices))]
+        _limit(self.kept_notices)
+        self.retired[state.endpoint.id] = state.endpoint
+        _limit(self.retired)
 
     def of_service(self, name: str) -> Iterator[EndpointState]:
         """Yield the endpoints of a service that do not leave."""
@@ -392,3 +415,9 @@
     def usable(self, service: str, now: float) -> list[EndpointState]:
         """Return the endpoints of a service that may get a request now."""
         return [state for state in self.of_service(service) if state.may_take_request(now)]
+
+
+def _limit(kept: dict) -> None:
+    """Drop the oldest items of a dictionary beyond `MAX_KEPT_INCARNATIONS`."""
+    while len(kept) > MAX_KEPT_INCARNATIONS:
+        del kept[next(iter(kept))]
--- a/bronzemux/gateway/origin_store.py
+++ b/bronzemux/gateway/origin_store.py
@@ -35,6 +35,8 @@
 SWEEP_SECONDS = 10.0
 # Origins have hexadecimal keys, and a scan covers those with one first digit.
 SWEEP_DIGITS = "0123456789abcdef"
+# The first round finds the rows, a later one those that nobody has removed since.
+SWEEP_ROUNDS = 3
 # Era of a store that was never restored from an older copy.
 FIRST_ERA = 1
 
@@ -71,6 +73,8 @@
       reads: Reads for callers that are in progress.
       sweep_at: Monotonic seconds of the next scan for rows of routers that have ended.
       sweep_count: Scans so far.
+      swept: Monotonic seconds and keys of an earlier scan, by digit; a key that is found again after
+        twice the life of a stream is removed, so that a router which is late removes its own first.
       sweeps_left: Scans until all keys have been covered since origins were last stored.
       storing: Services whose origins are being stored.
     """
@@ -100,6 +104,7 @@
         self.sweep_at = 0.0
         self.sweeps_left = 0
         self.sweep_count = 0
+        self.swept: dict[str, tuple[float, tuple[str, ...]]] = {}
         self.storing: frozenset[str] = frozenset()
         self.repeats = logs.RepeatFilter(clock)
         origins.on_note.append(self._on_note)
@@ -130,11 +135,23 @@
     def read(self, key: str) -> stream_origins.StreamOrigin | None:
         """Return the origin that the store has under a key, None when it has none.
 
-        Waits for the store for a short time only, as a caller waits.
+        Raises:
+          errors.PlatformError: When the store does not answer in time.
+        """
+        row = self._read_row(ORIGIN_PREFIX + key)
+        return self._decode(row, _decode_origin) if row is not None else None
+
+    def read_versions(self, service: str) -> software_history.StoredVersions | None:
+        """Return what the store has about the versions of a service, None when it has nothing.
 
         Raises:
           errors.PlatformError: When the store does not answer in time.
         """
+        row = self._read_row(HISTORY_PREFIX + service)
+        return self._decode(row, _decode_versions) if row is not None else None
+
+    def _read_row(self, key: str) -> table.Row | None:
+        """Return a row, after waiting for the store for a short time only, as a caller waits."""
         is_unavailable = self.clock.monotonic() < self.retry_at
         if is_unavailable or self.reads >= MAX_READS:
             cause = "the store has just failed" if is_unavailable else "too many reads at once"
@@ -145,10 +162,9 @@
         self.reads += 1
         try:
             with gevent.Timeout(READ_SECONDS, expired):
-                row = self.service.read([ORIGIN_PREFIX + key])[0]
+                return self.service.read([key])[0]
         finally:
             self.reads -= 1
-        return self._decode(row, _decode_origin) if row is not None else None
 
     # Task
 
@@ -191,7 +207,8 @@
             lives[service] = self.history.stream_life(service)
         if lives:
             for key, origin in self.origins.since(now - max(lives.values())):
-                if origin.service in lives:
+                # Only the router that saw a stream begin knows its endpoint.
+                if origin.service in lives and origin.endpoint:
                     self._queue(key)
         self.storing = frozenset(services)
         self.origins.expire(now - self.history.longest_life())
@@ -222,7 +239,7 @@
             key = HISTORY_PREFIX + service
             row = self.service.read([key])[0]
             stored = self._decode(row, _decode_versions) if row is not None else None
-            if stored is not None:
+            if stored is not None and stored != self.stored.get(service):
                 self.history.apply_stored(service, stored, self.service.era)
                 self.stored[service] = stored
             content = self.history.to_store(service, stored, self.service.era)
@@ -239,8 +256,9 @@
             logs.event(
                 "software_versions",
                 service=service,
-                present=",".join(sorted(self.history.present[service])),
-                listed=",".join(sorted(content.last_seen_ms)),
+                present=",".join(sorted(content.present)),
+                left=",".join(sorted(content.left)),
+                is_complete=content.is_complete,
             )
 
     # Rows of origins
@@ -260,7 +278,7 @@
             writes.append(table.Write(key, version, None))
         if writes:
             self._transact(writes, now)
-            self.sweeps_left = len(SWEEP_DIGITS)
+            self.sweeps_left = SWEEP_ROUNDS * len(SWEEP_DIGITS)
         for key in keys:
             self.pending.pop(key, None)
         if self.pending:
@@ -297,19 +315,19 @@
         """Remove rows of routers that have ended, a part of them at a time."""
         now = self.clock.monotonic()
         if self.storing:
-            self.sweeps_left = len(SWEEP_DIGITS)
+            self.sweeps_left = SWEEP_ROUNDS * len(SWEEP_DIGITS)
         if not self.sweeps_left or now < self.sweep_at or not self._is_sweeper(now):
             return
         self.sweep_at = now + SWEEP_SECONDS
         digit = SWEEP_DIGITS[self.sweep_count % len(SWEEP_DIGITS)]
         self.sweep_count += 1
         self.sweeps_left -= 1
-        # Twice the life, so that a router which is late removes its own rows first.
-        oldest_ms = self.history.unix_ms() - int(2000 * self.history.longest_life())
-        for row in self.service.scan(ORIGIN_PREFIX + digit, MAX_SCANNED_ROWS):
-            origin = self._decode(row, _decode_origin)
-            if origin is None or origin.begun_at_ms < oldest_ms:
-                self._transact([table.Write(row.key, row.version, None)], now)
+        found = {row.key: row for row in self.service.scan(ORIGIN_PREFIX + digit, MAX_SCANNED_ROWS)}
+        is_old = now - self.swept.get(digit, (now, ()))[0] > 2 * self.history.longest_life()
+        for key in found.keys() & set(self.swept[digit][1]) if is_old else ():
+            self._transact([table.Write(key, found[key].version, None)], now)
+        if is_old or digit not in self.swept:
+            self.swept[digit] = (now, tuple(found))
 
     def _is_sweeper(self, now: float) -> bool:
         routers = self.following.table
@@ -356,17 +374,18 @@
 
 
 def _encode_versions(stored: software_history.StoredVersions) -> bytes:
-    return cbor2.dumps([stored.era, stored.since_ms, list(stored.last_seen_ms.items())])
+    listed = [sorted(stored.present), sorted(stored.left)]
+    return cbor2.dumps([stored.era, int(stored.is_complete), *listed])
 
 
 def _decode_versions(value: bytes) -> software_history.StoredVersions:
     try:
-        era, since_ms, listed = plain_values.items(plain_values.load_cbor(value), 3)
-        pairs = [plain_values.items(pair, 2) for pair in plain_values.items(listed)]
+        era, is_complete, present, left = plain_values.items(plain_values.load_cbor(value), 4)
         return software_history.StoredVersions(
             plain_values.integer(era),
-            plain_values.integer(since_ms),
-            {plain_values.text(name): plain_values.integer(last_ms) for name, last_ms in pairs},
+            plain_values.integer(is_complete, maximum=1) == 1,
+            frozenset(map(plain_values.text, plain_values.items(present))),
+            frozenset(map(plain_values.text, plain_values.items(left))),
         )
     except plain_values.CHECK_ERRORS as error:
         raise _row_error("the versions of a service", error) from error
--- a/features/origin_store.feature
+++ b/features/origin_store.feature
@@ -58,7 +58,7 @@
 
   # Guards against rows that stay for good when their router is lost.
   Scenario: Rows of a router that has ended are removed by another one
-    When these things happen at the routers: start A; start B; add e1 v1; add e2 v2; wait 5; begin r1; wait 1; stop A; wait 200
+    When these things happen at the routers: start A; start B; add e1 v1; add e2 v2; wait 5; begin r1; wait 1; stop A; wait 400
     Then the store has the origins of no streams
 
   # Guards against a task that repeats a write for ever whose response was lost.
