--- a/bronzemux/gateway/continuation.py
+++ b/bronzemux/gateway/continuation.py
@@ -33,7 +33,7 @@
     """Reads the origins that other routers stored."""
 
     def read(self, key: str) -> stream_origins.StreamOrigin | None:
-        """Return the origin under a key, None when there is none; see `origin_store`."""
+        """Return the origin under a key, None when there is none; see `stream_origins`."""
 
     def read_versions(self, service: str) -> software_history.StoredVersions | None:
         """Return what is stored about the versions of a service, None when nothing is."""
@@ -80,7 +80,6 @@
             "" if state.is_entry_doubtful else entry.software,
             entry.id,
             entry.started_at_ms,
-            self.history.unix_ms(),
         )
         if job.route.is_resumable:
             self.origins.note(_key(job, job.request.id), job.origin)
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -27,7 +27,6 @@
     meters,
     model,
     orders,
-    origin_store,
     peering,
     reachability,
     routers,
@@ -249,7 +248,7 @@
         self.verdict_store = verdict_store.VerdictStore(
             components.crashes, platform.table, self.peering.store_following, clock
         )
-        self.origin_store = origin_store.OriginStore(
+        self.origin_store = stream_origins.OriginStore(
             origins, history, platform.table, self.peering.store_following, self.meters, clock
         )
         components.continuation.reader = self.origin_store
--- a/bronzemux/gateway/software_history.py
+++ b/bronzemux/gateway/software_history.py
@@ -5,10 +5,10 @@
 """
 
 import math
+import typing
 from collections.abc import Callable
 
 from bronzemux import clock as clocks
-from bronzemux import records
 from bronzemux.gateway import cluster_state, model
 
 # Longest life of a stream, from its first event to the last time that its caller resumes it, in
@@ -24,8 +24,7 @@
 COMPLETE_SECONDS = 86_400.0
 
 
-@records.record
-class StoredVersions:
+class StoredVersions(typing.NamedTuple):
     """What the store has about the software versions of a service.
 
     Attributes:
@@ -173,10 +172,6 @@
         )
         return content if content != stored else None
 
-    def unix_ms(self) -> int:
-        """Return the time of day in milliseconds since the epoch."""
-        return int(self.clock.now().timestamp() * 1000)
-
 
 def _stream_lives(config: model.Configuration | None) -> dict[str, float]:
     """Return the longest life of the resumable streams of each service that has such."""
--- a/features/steps/origin_store_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -9,7 +9,6 @@
     cluster_state,
     endpoints,
     meters,
-    origin_store,
     rows,
     software_history,
     stream_origins,
@@ -28,7 +27,7 @@
 
     def __init__(self):
         super().__init__()
-        self.era = origin_store.FIRST_ERA
+        self.era = stream_origins.FIRST_ERA
         self.is_failing = False
         self.is_losing = False
 
@@ -46,7 +45,7 @@
         """Apply all writes, or none of them."""
         self._check()
         version = super().transact(writes)
-        if self.is_losing and writes[0].key.startswith(origin_store.ORIGIN_PREFIX):
+        if self.is_losing and writes[0].key.startswith(stream_origins.ORIGIN_PREFIX):
             self.is_losing = False
             raise errors.AmbiguousWriteError("the response was lost", "read the row")
         return version
@@ -81,7 +80,7 @@
         )
         self.own = own
         following = types.SimpleNamespace(is_needed=lambda: not self.is_cut, table=known)
-        self.task = origin_store.OriginStore(
+        self.task = stream_origins.OriginStore(
             self.origins, self.history, site.table, following, meters.GatewayMetrics(), site.clock
         )
         self.read_entries()
@@ -101,9 +100,7 @@
     def begin(self, name: str) -> None:
         """Record that a stream began at the first endpoint."""
         entry = min(self.state.endpoints.states.values(), key=lambda s: s.endpoint.id).endpoint
-        origin = stream_origins.StreamOrigin(
-            SERVICE, entry.software, entry.id, entry.started_at_ms, self.history.unix_ms()
-        )
+        origin = stream_origins.StreamOrigin(SERVICE, entry.software, entry.id, entry.started_at_ms)
         self.origins.note(stream_origins.origin_key("", name), origin)
 
 
@@ -231,7 +228,7 @@
 
 @then("the store has the origins of no streams")
 def step_no_origins(context):
-    found = context.origin_site.table.scan(origin_store.ORIGIN_PREFIX, 100)
+    found = context.origin_site.table.scan(stream_origins.ORIGIN_PREFIX, 100)
     assert not found, found
 
 
@@ -242,7 +239,7 @@
     for name in names.split(" and "):
         origin = reader.read(stream_origins.origin_key("", name))
         assert origin is not None and origin.software == "v1", (name, origin)
-    assert len(site.table.scan(origin_store.ORIGIN_PREFIX, 100)) == len(names.split(" and "))
+    assert len(site.table.scan(stream_origins.ORIGIN_PREFIX, 100)) == len(names.split(" and "))
 
 
 @then("the origin of the stream {name} is not known")
