--- a/features/runner.py
+++ b/features/runner.py
@@ -23,6 +23,7 @@
 MAX_PROCESSES = 3
 # The longest features start first, so that none of them runs alone at the end.
 SLOWEST_FEATURES = (
+    "soak",
     "gateway_software_versions",
     "replay",
     "processes",
