--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,9 +36,9 @@
       | 5       | series                | close connections unanswered beside a configuration | LOST      |
       | 5       | reload                | close connections unanswered after SIGHUP           | LOST      |
       | 5       | terminate             | cut off accepted requests when they stop            | LOST      |
-      | 8       | configure and restore | take the configuration of a restored store          | CONFIG    |
+      | 14      | configure and restore | take the configuration of a restored store          | CONFIG    |
       | 8       | leave                 | send requests to endpoints that leave               | DRAIN     |
-      | 8       | shed                  | send requests to endpoints that ask for a pause     | BUDGET    |
+      | 14      | shed                  | send requests to endpoints that ask for a pause     | BUDGET    |
       | 8       | silence               | give up streams of silent endpoints                 | LOST      |
       | 8       | release               | continue streams at any software version            | ORDER     |
       | 8       | odd                   | refuse streams that callers take up                 | LOST      |
