Name the failed scenarios at the end of a test run

The runner now prints one line for each failed scenario after all output: file, name, step and the first line of the reason; and a feature that ends without its counts is named with its exit status.

Shown with a scratch feature of an undefined step and a failed one; both were named.

--- a/features/runner.py
+++ b/features/runner.py
@@ -10,7 +10,7 @@
 import sys
 
 import gevent.pool
-from behave import configuration, model_type, runner
+from behave import configuration, model, model_type, runner
 from gevent import subprocess
 
 ROOT = pathlib.Path(__file__).resolve().parent
@@ -32,8 +32,12 @@
     "mesh",
     "rollout",
 )
+FAILED_STATUSES = frozenset(
+    {model_type.Status.failed, model_type.Status.error, model_type.Status.undefined}
+)
 COUNTS_PATTERN = re.compile(r"^counts: (\d+) passed, (\d+) failed$", re.MULTILINE)
-KNOWN_RED_PATTERN = re.compile(r"^known red: .*$", re.MULTILINE)
+# Lines that are printed again after the output of all features.
+SUMMARY_PATTERN = re.compile(r"^(?:known red|failed): .*$", re.MULTILINE)
 
 
 def known_red_scenarios() -> set[str]:
@@ -46,6 +50,16 @@
     }
 
 
+def failure_line(scenario: model.Scenario) -> str:
+    """Return one line that names a failed scenario, its failed step and the first line of why."""
+    line = f"failed: {scenario.location} {scenario.name}"
+    for step in scenario.all_steps:
+        if step.status in FAILED_STATUSES:
+            reason = (step.error_message or "").strip().splitlines() or ["no message"]
+            return f"{line}: {step.keyword} {step.name}: {reason[0]}"
+    return line
+
+
 def run_in_process(arguments: list[str]) -> tuple[int, int]:
     """Run features in this process.
 
@@ -69,10 +83,14 @@
     passed = [s for s in executed if s.status == model_type.Status.passed]
     known_red = known_red_scenarios()
     tolerated = [s for s in executed if s not in passed and s.name.strip() in known_red]
-    failed = len(executed) - len(passed) - len(tolerated)
+    unexpected = [s for s in executed if s not in passed and s not in tolerated]
     for scenario in tolerated:
         print(f"known red: {scenario.name}")
+    for scenario in unexpected:
+        print(failure_line(scenario))
+    failed = len(unexpected)
     if has_failed and not failed and not tolerated:
+        print("failed: an error outside the scenarios")
         failed = 1
     return len(passed), failed
 
@@ -86,6 +104,7 @@
     output = completed.stdout.decode(errors="replace")
     counts_match = COUNTS_PATTERN.search(output)
     if counts_match is None:
+        output += f"\nfailed: {feature.name} ended with status {completed.returncode} and no counts"
         return output, 0, 1
     return output, int(counts_match.group(1)), int(counts_match.group(2))
 
@@ -105,14 +124,14 @@
         )
 
     features = sorted(ROOT.glob("*.feature"), key=sort_key)
-    passed, failed, known_red_lines = 0, 0, []
+    passed, failed, summary = 0, 0, []
     for output, feature_passed, feature_failed in gevent.pool.Pool(MAX_PROCESSES).imap_unordered(
         run_in_subprocess, features
     ):
         print(output, flush=True)
         passed, failed = passed + feature_passed, failed + feature_failed
-        known_red_lines += KNOWN_RED_PATTERN.findall(output)
-    for line in known_red_lines:
+        summary += SUMMARY_PATTERN.findall(output)
+    for line in summary:
         print(line)
     return passed, failed
 
