--- a/features/steps/http_framing_steps.py
+++ b/features/steps/http_framing_steps.py
@@ -1,5 +1,6 @@
 """Steps for the framing of HTTP/1.1."""
 
+import contextlib
 import fcntl
 import socket
 import struct
@@ -140,9 +141,18 @@
 
 
 def read_all(sock: socket.socket) -> None:
-    """Read from a socket until its end."""
-    while sock.recv(http1.READ_BYTES):
-        continue
+    """Read from a socket until its end, or until the scenario closes it."""
+    with contextlib.suppress(OSError):
+        while sock.recv(http1.READ_BYTES):
+            continue
+
+
+def send_body(channel: http1.Channel, timeout: float) -> tuple[bool | None, TimeoutError | None]:
+    """Send a body of 8 MB; return whether it was sent whole, or the error when it timed out."""
+    try:
+        return channel.send_until_response(bytes(8_000_000), timeout), None
+    except TimeoutError as error:
+        return None, error
 
 
 def read_during_pause(sock: socket.socket, seconds: float) -> None:
@@ -161,14 +171,10 @@
 @when("a body of 8 MB is sent to it")
 def step_send_long_body(context):
     timeout = getattr(context, "timeout", TIMEOUT_SECONDS)
-    sender = gevent.spawn(context.channel.send_until_response, bytes(8_000_000), timeout)
+    sender = gevent.spawn(send_body, context.channel, timeout)
     gevent.sleep(0.05)
     getattr(context, "pause", lambda: None)()
-    context.is_whole_body_sent, context.error = None, None
-    try:
-        context.is_whole_body_sent = sender.get(timeout=TIMEOUT_SECONDS)
-    except TimeoutError as error:
-        context.error = error
+    context.is_whole_body_sent, context.error = sender.get(timeout=TIMEOUT_SECONDS)
 
 
 @then("sending ends when the body is sent")
