Write origins in transactions that the store accepts

Cause: a router wrote up to 100 origins in one transaction. The platform's store counts each write twice, as the version that its row must have is an entry too. From 51 origins that wait on, the transaction was refused; it was tried again unchanged each second, so that this router stored no origin any more, and streams that it had begun were refused at other routers. The small deployments never have so many waiting.

The class: a limit of one kind of table known to a caller that is used with two kinds. Now each kind of table states its `max_writes`; the committer of the product stack uses it as well.

Excluded: other transactions of the gateway hold one write each.

--- a/bronzemux/committer.py
+++ b/bronzemux/committer.py
@@ -7,7 +7,6 @@
 from bronzemux import clock as clocks
 from bronzemux import errors, metrics, store_version, supervisor, table
 
-MAX_BATCH_WRITES = 128
 WRITE_ATTEMPTS = 4
 INITIAL_BACKOFF_SECONDS = 0.05
 METRIC_PURPOSE = "claim"
@@ -102,7 +101,7 @@
         """
         deferred = []
         keys = {self.batch[0].write.key}
-        while len(self.batch) < MAX_BATCH_WRITES and not self.mailbox.empty():
+        while len(self.batch) < self.service.max_writes and not self.mailbox.empty():
             commit = self.mailbox.get()
             if not isinstance(commit, Commit):
                 self.mailbox.put(commit)
--- a/bronzemux/gateway/stream_origins.py
+++ b/bronzemux/gateway/stream_origins.py
@@ -25,9 +25,8 @@
 HISTORY_PREFIX = "software/"
 INTERVAL_SECONDS = 0.25
 RETRY_SECONDS = 1.0
-# Most rows in one response, or in one transaction, of the store.
+# Most rows in one response of the store.
 MAX_SCANNED_ROWS = 500
-MAX_WRITES = 100
 # Origins that wait for the store; older ones are dropped.
 MAX_PENDING = 5000
 # Writes of all routers together in a second, well below the 300 that one partition of the store takes.
@@ -345,13 +344,13 @@
         """Write the next origins, and remove rows whose streams have ended, in one transaction."""
         now = self.clock.monotonic()
         self.write_at = now + self._write_interval()
-        keys = list(itertools.islice(self.pending, MAX_WRITES))
+        keys = list(itertools.islice(self.pending, self.service.max_writes))
         found = {key: origin for key in keys if (origin := self.origins.find(key)) is not None}
         writes = [
             table.Write(ORIGIN_PREFIX + key, table.ABSENT, _encode_origin(origin))
             for key, origin in found.items()
         ]
-        while self._is_removal_due() and len(writes) < MAX_WRITES:
+        while self._is_removal_due() and len(writes) < self.service.max_writes:
             _, key, version = self.written.popleft()
             writes.append(table.Write(key, version, None))
         if writes:
--- a/bronzemux/platform/standin_store.py
+++ b/bronzemux/platform/standin_store.py
@@ -13,6 +13,7 @@
 
 HANG_SECONDS = 30.0
 MAX_PAGE_ROWS = 500
+MAX_TRANSACTION_ENTRIES = 100
 ERA_FIELD = "Store-Era"
 
 
@@ -189,6 +190,8 @@
         return [c for c in self.history if c.table == table and c.version > after]
 
     def _transact(self, body: dict):
+        if sum(map(len, body.values())) > MAX_TRANSACTION_ENTRIES:
+            return 400, {}
         if self.fault is Fault.LATE_WRITE:
             gevent.spawn_later(self.late_write_seconds, self._commit, body)
             gevent.sleep(HANG_SECONDS)
--- a/bronzemux/platform/store.py
+++ b/bronzemux/platform/store.py
@@ -20,6 +20,9 @@
 PAGE_ROWS = 500
 # Leaves the era within the limit of `store_version`.
 MAX_ERA_DIGITS = 6
+MAX_TRANSACTION_ENTRIES = 100
+# A write and the version that its row must have.
+ENTRIES_PER_WRITE = 2
 OWN_TABLE = "bronzemux"
 HISTORY_LOST_STATUS = 410
 CONFLICT_STATUS = 412
@@ -128,6 +131,8 @@
       store_era: Era of the store.
     """
 
+    max_writes = MAX_TRANSACTION_ENTRIES // ENTRIES_PER_WRITE
+
     def __init__(self, address: str, store_era: StoreEra):
         self.store_era = store_era
         self.client = _client(address, RESPONSE_TIMEOUT_SECONDS)
--- a/bronzemux/table.py
+++ b/bronzemux/table.py
@@ -50,9 +50,11 @@
     Attributes:
       era: Number of times that the service was restored from an older copy, as far as is known. A
         restored service has lost the rows written since the copy.
+      max_writes: Largest number of writes in one transaction.
     """
 
     era = 0
+    max_writes = 128
 
     def record_era(self, era: int) -> None:
         """Record an era that was learnt otherwise than from a response of the service.
--- a/features/gateway_platform.feature
+++ b/features/gateway_platform.feature
@@ -94,6 +94,11 @@
       | answer-lost | not held | the row may have been written   |
       | late-write  | not held | the row may have been written   |
 
+  # Guards against transactions that the store refuses for their number of entries.
+  Scenario: The store takes as many writes in one transaction as its client allows
+    When as many rows as one transaction may write are written, and then removed
+    Then the store has none of them
+
   Scenario: An idle connection is never given to two requests
     Given 30 idle connections to "app-1"
     When connections are acquired while others are pruned
--- a/features/runner.py
+++ b/features/runner.py
@@ -51,12 +51,13 @@
 
 
 def failure_line(scenario: model.Scenario) -> str:
-    """Return one line that names a failed scenario, its failed step and the first line of why."""
+    """Return one line that names a failed scenario, its failed step and the reason."""
     line = f"failed: {scenario.location} {scenario.name}"
     for step in scenario.all_steps:
         if step.status in FAILED_STATUSES:
             reason = (step.error_message or "").strip().splitlines() or ["no message"]
-            return f"{line}: {step.keyword} {step.name}: {reason[0]}"
+            is_traceback = reason[0].startswith("Traceback")
+            return f"{line}: {step.keyword} {step.name}: {reason[-1 if is_traceback else 0]}"
     return line
 
 
--- a/features/steps/gateway_platform_steps.py
+++ b/features/steps/gateway_platform_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from gevent import monkey
 
-from bronzemux import clock, errors, lease, logs, store_version
+from bronzemux import clock, errors, lease, logs, store_version, table
 from bronzemux.gateway import admission, channels
 from bronzemux.platform import boot, fields, standin_store, store
 from features import gateway_support
@@ -249,6 +249,21 @@
         context.error = error
 
 
+@when("as many rows as one transaction may write are written, and then removed")
+def step_write_most(context):
+    service = store.StoreTable(context.site.store.address, store.StoreEra())
+    context.own_table = service
+    keys = [f"row-{number}" for number in range(service.max_writes)]
+    version = service.transact([table.Write(key, table.ABSENT, b"1") for key in keys])
+    assert len(service.scan("row-", len(keys))) == len(keys)
+    service.transact([table.Write(key, version, None) for key in keys])
+
+
+@then("the store has none of them")
+def step_none_left(context):
+    assert not context.own_table.scan("row-", 1)
+
+
 @then("the lease is {state}, and {effect}")
 def step_lease_state(context, state, effect):
     assert context.lease.is_held() == (state == "held")
--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -25,6 +25,8 @@
 class FaultyTable(table.MemoryTable):
     """Table whose calls can fail, or whose next response to a write can be lost."""
 
+    max_writes = 10
+
     def __init__(self):
         super().__init__()
         self.era = stream_origins.FIRST_ERA
@@ -44,6 +46,8 @@
     def transact(self, writes):
         """Apply all writes, or none of them."""
         self._check()
+        if len(writes) > self.max_writes:
+            raise errors.PlatformUnavailableError(f"{len(writes)} writes are too many", "split")
         version = super().transact(writes)
         if self.is_losing and writes[0].key.startswith(stream_origins.ORIGIN_PREFIX):
             self.is_losing = False
@@ -197,6 +201,11 @@
         """Begin a stream at the first router."""
         next(iter(self.routers.values())).begin(name)
 
+    def do_flood(self, count: str) -> None:
+        """Begin many streams at once at the first router."""
+        for number in range(int(count)):
+            self.do_begin(f"r{number}")
+
     def do_write(self, key: str, value: str) -> None:
         """Write odd bytes to a row, whatever it holds."""
         known = self.table.rows.get(key)
@@ -242,6 +251,12 @@
     assert len(site.table.scan(stream_origins.ORIGIN_PREFIX, 100)) == len(names.split(" and "))
 
 
+@then("the store has the origins of {count:d} streams")
+def step_origin_count(context, count):
+    found = context.origin_site.table.scan(stream_origins.ORIGIN_PREFIX, 500)
+    assert len(found) == count, len(found)
+
+
 @then("the origin of the stream {name} is not known")
 def step_not_known(context, name):
     site = context.origin_site
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -51,6 +51,13 @@
     When these things happen: drop e2; wait 30; begin r3; wait 1
     Then the store has the origins of no streams
 
+  # Guards against streams that cannot go on because a write of too many origins is refused for ever.
+  Scenario: Origins of streams that begin at once are stored in as many writes as it takes
+    When these things happen at the routers: start A; add e1 v1; add e2 v2; wait 5; flood 35; wait 3
+    Then the store has the origins of 35 streams
+    When these things happen: drop e2; wait 30
+    Then the store has the origins of no streams
+
   # Guards against streams that cannot go on after the store has lost what was written to it.
   Scenario: Origins that a restore of the store has lost are written again
     When these things happen at the routers: start A; add e1 v1; add e2 v2; wait 5; copy; begin r1; wait 1; restore; wait 1
