Write the origin of a stream at once unless many begin

Cause: a router wrote origins at intervals of N/150 s (N routers, 0.43 s here), also when it had written little before. And a periodic tick that fell between the note of an origin and the end of the interval postponed the write to the next tick. A stream that broke with its router meanwhile was not known anywhere.

Change: the interval is that of the average; writes of 1.5 s may be made at once, 225 of all routers together, which the store takes in 0.75 s. A tick schedules the next write again.

Test: of two origins 0.25 s apart at 82 routers the second was not stored 0.25 s later; now it is.

--- a/bronzemux/gateway/stream_origins.py
+++ b/bronzemux/gateway/stream_origins.py
@@ -31,6 +31,9 @@
 MAX_PENDING = 5000
 # Writes of all routers together in a second, well below the 300 that one partition of the store takes.
 WRITES_PER_SECOND = 150
+# Writes of so many seconds may be made at once. If all routers do so, the store has executed them
+# within less than the second after which it rejects writes.
+BURST_SECONDS = 1.5
 # Longest wait for the store while a caller waits for its stream.
 READ_SECONDS = 0.4
 # Callers for whom the store is read at the same time.
@@ -146,7 +149,8 @@
       stored: Versions of each service as they were last read or written.
       era: Era of the table in which these are valid.
       retry_at: Monotonic seconds before which the table is not used, after a failed call.
-      write_at: Monotonic seconds before which no origins are written.
+      write_at: Monotonic seconds at which the next write is due at a constant rate; it may be made
+        up to `BURST_SECONDS` before.
       reads: Reads for callers that are in progress.
       sweep_at: Monotonic seconds of the next scan for rows of routers that have ended.
       sweep_count: Scans so far.
@@ -201,7 +205,7 @@
     @handle.register
     def _handle_key(self, key: str) -> None:
         self._queue(key)
-        self.next_tick = min(self.next_tick, max(self.clock.monotonic(), self.write_at))
+        self._schedule_write()
 
     def _queue(self, key: str) -> None:
         self.pending[key] = None
@@ -258,9 +262,11 @@
                 self._read_versions()
             if self.following.is_needed():
                 self._write_versions()
-            if now >= self.write_at and (self.pending or self._is_removal_due()):
+            if not self._write_delay() and (self.pending or self._is_removal_due()):
                 self._write_origins()
             self._sweep_if_due()
+            if self.pending:
+                self._schedule_write()
         except errors.PlatformError as error:
             self.repeats.event("origin_store_failed", "", cause=str(error))
             self.retry_at = self.clock.monotonic() + RETRY_SECONDS
@@ -343,7 +349,7 @@
     def _write_origins(self) -> None:
         """Write the next origins, and remove rows whose streams have ended, in one transaction."""
         now = self.clock.monotonic()
-        self.write_at = now + self._write_interval()
+        self.write_at = max(now, self.write_at) + self._write_interval()
         keys = list(itertools.islice(self.pending, self.service.max_writes))
         found = {key: origin for key in keys if (origin := self.origins.find(key)) is not None}
         writes = [
@@ -358,8 +364,6 @@
             self.sweeps_left = SWEEP_ROUNDS * len(SWEEP_DIGITS)
         for key in keys:
             self.pending.pop(key, None)
-        if self.pending:
-            self.next_tick = min(self.next_tick, self.write_at)
 
     def _transact(self, writes: list[table.Write], now: float) -> None:
         try:
@@ -383,6 +387,14 @@
     def _write_interval(self) -> float:
         return (1 + len(self.following.table.known)) / WRITES_PER_SECOND
 
+    def _write_delay(self) -> float:
+        """Return the seconds until origins may be written."""
+        burst = max(0.0, BURST_SECONDS - self._write_interval())
+        return max(0.0, self.write_at - burst - self.clock.monotonic())
+
+    def _schedule_write(self) -> None:
+        self.next_tick = min(self.next_tick, self.clock.monotonic() + self._write_delay())
+
     def _is_removal_due(self) -> bool:
         if not self.written:
             return False
--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -299,8 +299,8 @@
     site = context.origin_site
     made = site.table.transactions
     steps = round(seconds / STEP_SECONDS)
-    for number in range(count):
-        site.do_begin(f"r{number}")
-        if number % (count // steps) == 0:
-            site.do_wait(str(STEP_SECONDS))
+    for step in range(steps):
+        for number in range(step * count // steps, (step + 1) * count // steps):
+            site.do_begin(f"r{number}")
+        site.do_wait(str(STEP_SECONDS))
     assert 0 < site.table.transactions - made <= limit, site.table.transactions - made
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -92,6 +92,11 @@
       | software/app 8000  | v1      |
       | stream/odd 84      | v1      |
 
+  # Guards against streams that break before their origin is stored, as it waits for the one before.
+  Scenario: Origins of two streams that begin soon after each other are both stored at once
+    When these things happen at the routers: start A; add e1 v1; add e2 v2; crowd 81; wait 5; begin r1; wait 0.25; begin r2; wait 0.25
+    Then the store has the origins of the streams r1 and r2
+
   # Guards against routers that together exceed the writes that the store takes.
   Scenario: Writes of many routers are limited
     When these things happen at the routers: start A; add e1 v1; add e2 v2; crowd 194; wait 5
