Remove old origins in the writes of new ones

Cause: a row whose stream had ended was removed as soon as it could be, in a transaction of its own when no origin waited, and used up a write of the router.

Change: such rows are removed in the writes of new origins, or 5 s later when there are none.

--- a/bronzemux/gateway/stream_origins.py
+++ b/bronzemux/gateway/stream_origins.py
@@ -34,6 +34,8 @@
 # Writes of so many seconds may be made at once. If all routers do so, the store has executed them
 # within less than the second after which it rejects writes.
 BURST_SECONDS = 1.5
+# Rows of streams that have ended are removed when others are written, or after so long without.
+REMOVAL_DELAY_SECONDS = 5.0
 # Longest wait for the store while a caller waits for its stream.
 READ_SECONDS = 0.4
 # Callers for whom the store is read at the same time.
@@ -262,7 +264,7 @@
                 self._read_versions()
             if self.following.is_needed():
                 self._write_versions()
-            if not self._write_delay() and (self.pending or self._is_removal_due()):
+            if not self._write_delay() and (self.pending or self._is_removal_due(REMOVAL_DELAY_SECONDS)):
                 self._write_origins()
             self._sweep_if_due()
             if self.pending:
@@ -395,10 +397,11 @@
     def _schedule_write(self) -> None:
         self.next_tick = min(self.next_tick, self.clock.monotonic() + self._write_delay())
 
-    def _is_removal_due(self) -> bool:
+    def _is_removal_due(self, delay: float = 0.0) -> bool:
+        """Return whether the stream of the oldest row ended so many seconds ago."""
         if not self.written:
             return False
-        return self.clock.monotonic() - self.written[0][0] > self.history.longest_life()
+        return self.clock.monotonic() - self.written[0][0] > self.history.longest_life() + delay
 
     def _sweep_if_due(self) -> None:
         """Remove rows of routers that have ended, a part of them at a time."""
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -97,6 +97,11 @@
     When these things happen at the routers: start A; add e1 v1; add e2 v2; crowd 81; wait 5; begin r1; wait 0.25; begin r2; wait 0.25
     Then the store has the origins of the streams r1 and r2
 
+  # Guards against new origins that wait because the removal of old ones has used up the writes.
+  Scenario: Old origins are removed in the writes of new ones
+    When these things happen at the routers: start A; add e1 v1; add e2 v2; wait 5
+    Then a router with 60 new streams in 60 seconds makes at most 62 transactions
+
   # Guards against routers that together exceed the writes that the store takes.
   Scenario: Writes of many routers are limited
     When these things happen at the routers: start A; add e1 v1; add e2 v2; crowd 194; wait 5
