Do not take a stream cut at its deadline for one that planned work lost

"Configurations that drop and add routes arrive ..." failed once, in the first run of its author, whose output was cut.

Cause, of the test: its callers wait 1 s for a response, and streams take 0.2 to 0.37 s on an idle machine. When the process that holds gateway, endpoints and callers does not run for most of a second, the deadline of the streams that have begun passes, and the gateway cuts them, as it must: a begun response cannot be refused. The check took these for requests that the configuration had cost.

That the first run had this cause is inferred, as its output is gone.

A response that had begun and was cut now passes only when both the gateway's log says that the deadline passed during it and the caller had waited for the deadline less the gateway's margin. A failed step prints the requests with their times and what was logged of them, and the configurations when a status is missing.

Before the change, the new scenario (streams that pause for 2 s) failed: cut responses of status 200.

Excluded: a configuration that skips the routes (404s in each run), a lost connection (no status 0), an exception in the gateway (none logged), callers that do not end in 5 s (none). Not excluded: a pause of over 1 s within the connect of a caller raises TimeoutError there; it was not seen.

--- a/features/gateway_planned_work.feature
+++ b/features/gateway_planned_work.feature
@@ -12,7 +12,7 @@
   Scenario Outline: Configurations that <change> arrive while requests run, wait and are read
     Given a gateway
     When callers send requests to it while configurations <change>
-    Then each request got a complete answer
+    Then each request got a complete answer, or was cut at its deadline
     And requests were answered 200 and <other>
 
     Examples:
@@ -23,11 +23,19 @@
       | drop and add teams                   | 401   |
       | lower and raise the limit of bodies  | 413   |
 
+  # Guards against a check that takes a stream cut at its deadline for one that planned work cut.
+  Scenario: Streams last beyond the deadlines of their requests
+    Given a gateway
+    And the endpoints pause for 2 seconds in a stream and send whole events
+    When callers send requests to it while configurations drop and add routes
+    Then each request got a complete answer, or was cut at its deadline
+    And some requests were cut at their deadline
+
   # Guards against requests that are cut as a stop overlaps the arrival of a configuration.
   Scenario Outline: A gateway stops <delay> seconds after a configuration was written
     Given a gateway with a grace of 3 seconds
     When callers send requests to it while it stops <delay> seconds after a configuration
-    Then each request got a complete answer
+    Then each request got a complete answer, or was cut at its deadline
 
     Examples:
       | delay |
@@ -41,7 +49,7 @@
   Scenario Outline: A process gets <signals> beside a configuration
     Given a gateway process
     When callers send requests to it while it gets <signals> beside a configuration
-    Then each request got a complete answer, or crossed a close and ran nowhere
+    Then each request got a complete answer, was cut at its deadline, or crossed a close and ran nowhere
 
     Examples:
       | signals                             |
@@ -55,7 +63,7 @@
     Given a gateway with a grace of 3 seconds
     And the store answers nobody from now on
     When callers send requests to a gateway that starts <delay> seconds after the first one stops
-    Then each request got a complete answer
+    Then each request got a complete answer, or was cut at its deadline
 
     Examples:
       | delay |
--- a/features/steps/gateway_planned_work_steps.py
+++ b/features/steps/gateway_planned_work_steps.py
@@ -1,6 +1,8 @@
 """Steps for callers that send requests during planned work."""
 
+import collections
 import dataclasses
+import io
 import itertools
 import pathlib
 import random
@@ -8,18 +10,24 @@
 import signal
 import socket
 import tempfile
+import time
 
 import gevent
 from behave import given, then, when
 
-from bronzemux import http_client
-from bronzemux.gateway import http1
+from bronzemux import http_client, logs
+from bronzemux.gateway import forwarder, http1
 from bronzemux.platform import standin_store
 from features import gateway_support, soak
 
 CALLER_COUNT = 12
 KINDS = ("filing", "status", "classify", "draft")
 BODY = b"0123456789" * 20
+DEADLINE_SECONDS = 1.0
+# What the gateway logs of a response that it cut at the deadline.
+DEADLINE_CAUSE = 'deadline passed during the response" end=cut'
+# Requests that the message of a failed step describes.
+MAX_DESCRIBED = 10
 # Requests on one connection, and the longest pause between two of them.
 REQUESTS_PER_CONNECTION = 5
 MAX_PAUSE_SECONDS = 0.12
@@ -38,11 +46,13 @@
       request_id: Identity of the request.
       is_kept: Whether it was sent on a connection that had carried another.
       reply: The response.
+      seconds: Time from before the request was sent to the end of the response.
     """
 
     request_id: str
     is_kept: bool
     reply: gateway_support.Reply
+    seconds: float
 
 
 class Callers:
@@ -90,8 +100,12 @@
                 return
             request_id = f"p{next(self.numbers)}"
             data = self.site.encode(
-                f"/{rng.choice(KINDS)}/1", body=BODY, Request_Id=request_id, Deadline_Ms="1000"
+                f"/{rng.choice(KINDS)}/1",
+                body=BODY,
+                Request_Id=request_id,
+                Deadline_Ms=f"{DEADLINE_SECONDS * 1000:.0f}",
             )
+            started_at = time.monotonic()
             try:
                 if rng.randrange(SPLIT_RATIO):
                     sock.sendall(data)
@@ -102,14 +116,18 @@
                 reply = gateway_support.read_reply(channel)
             except OSError:
                 reply = gateway_support.Reply(0)
-            self.outcomes.append(Outcome(request_id, position > 0, reply))
+            seconds = time.monotonic() - started_at
+            self.outcomes.append(Outcome(request_id, position > 0, reply, seconds))
             if not reply.is_whole or reply.head.is_closing():
                 return
             gevent.sleep(rng.uniform(0, MAX_PAUSE_SECONDS))
 
 
 def start_callers(context, address: str) -> Callers:
-    """Start the callers; the endpoints take a while for each request."""
+    """Start the callers and record the log; the endpoints take a while for each request."""
+    context.log = io.StringIO()
+    destination = logs.start("info", context.log)
+    context.cleanups.append(lambda: logs.stop(destination))
     for worker in context.site.workers.values():
         worker.execution_seconds = EXECUTION_SECONDS
         worker.event_seconds = EXECUTION_SECONDS / 2
@@ -219,31 +237,82 @@
     callers.end()
 
 
+def read_log(context) -> str:
+    """Return what the gateways have logged."""
+    if "process" in context:
+        log_path = context.process.folder / f"{context.process.name}.log"
+        return log_path.read_text(encoding="utf-8")
+    return context.log.getvalue()
+
+
+def log_of(context, outcome: Outcome) -> list[str]:
+    """Return the lines of the log about a request."""
+    mark = f" id={outcome.request_id} "
+    return [line for line in read_log(context).splitlines() if mark in line]
+
+
+def was_cut_at_deadline(context, outcome: Outcome) -> bool:
+    """Return whether a response had begun and was cut because the deadline passed.
+
+    The gateway must end such a response, which has no other way to tell its caller; both its log
+    and the time that the caller measured have to show it.
+    """
+    shortest = DEADLINE_SECONDS - forwarder.TIMEOUT_MARGIN_SECONDS
+    is_logged = any(line.endswith(DEADLINE_CAUSE) for line in log_of(context, outcome))
+    return bool(outcome.reply.status) and outcome.seconds >= shortest and is_logged
+
+
+def describe(context, outcomes: list[Outcome]) -> str:
+    """Return a description of requests, with what was logged of them."""
+    lines = [f"{len(outcomes)} of {len(context.callers.outcomes)} requests:"]
+    for outcome in outcomes[:MAX_DESCRIBED]:
+        reply = outcome.reply
+        lines.append(
+            f"{outcome.request_id}: is_kept={outcome.is_kept} status={reply.status} "
+            f"whole={reply.is_whole} seconds={outcome.seconds:.3f} body={reply.body!r}"
+        )
+        lines += log_of(context, outcome)
+    return "\n".join(lines)
+
+
 def unanswered(context) -> list[Outcome]:
-    """Return the requests without a complete answer."""
+    """Return the requests without a complete answer that were not cut at their deadline."""
     outcomes = context.callers.outcomes
     assert len(outcomes) > CALLER_COUNT, outcomes
-    return [outcome for outcome in outcomes if not outcome.reply.is_whole]
+    incomplete = [outcome for outcome in outcomes if not outcome.reply.is_whole]
+    return [outcome for outcome in incomplete if not was_cut_at_deadline(context, outcome)]
 
 
-@then("each request got a complete answer")
+@then("each request got a complete answer, or was cut at its deadline")
 def step_answered(context):
-    assert not unanswered(context), unanswered(context)
+    found = unanswered(context)
+    assert not found, describe(context, found)
+
 
+@then("some requests were cut at their deadline")
+def step_cut(context):
+    assert any(was_cut_at_deadline(context, outcome) for outcome in context.callers.outcomes)
 
-@then("each request got a complete answer, or crossed a close and ran nowhere")
+
+@then(
+    "each request got a complete answer, was cut at its deadline, or crossed a close and ran nowhere"
+)
 def step_answered_or_unread(context):
     ran = {
         seen.fields["request-id"]
         for worker in context.site.workers.values()
         for seen in worker.executed
     }
-    for outcome in unanswered(context):
-        assert outcome.is_kept and not outcome.reply.status, outcome
-        assert outcome.request_id not in ran, outcome
+    found = [
+        outcome
+        for outcome in unanswered(context)
+        if not outcome.is_kept or outcome.reply.status or outcome.request_id in ran
+    ]
+    assert not found, describe(context, found)
 
 
 @then("requests were answered 200 and {status:d}")
 def step_statuses(context, status):
-    statuses = {outcome.reply.status for outcome in context.callers.outcomes}
-    assert {200, status} <= statuses, statuses
+    statuses = collections.Counter(outcome.reply.status for outcome in context.callers.outcomes)
+    in_force = [line for line in read_log(context).splitlines() if " event=configuration " in line]
+    assert {200, status} <= set(statuses), "\n".join([str(statuses), *in_force])
