Print what the routers report and log when a configuration does not arrive

The step of processes.feature that waits for a version said only that its condition did not hold. It prints the changes that the table service holds and, of each process, its exit status, what it reports and the end of its log now.

--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -10,13 +10,16 @@
 from behave import given, then, when
 from gevent import subprocess
 
-from bronzemux import engine_http, errors, http_client, standin_response, vms
+from bronzemux import clock as clocks
+from bronzemux import config_store, engine_http, errors, http_client, standin_response, vms
 from features import link, ports, support
 from features.steps import callers_steps, ctl_steps, streams_steps
 
 DATA_CENTRES = ("tbilisi-1", "tbilisi-2", "tbilisi-3")
 EXIT_TIMEOUT_SECONDS = 30.0
 SECOND_SIGNAL_DELAY_SECONDS = 0.5
+# Lines of the log of a process that a failed step prints.
+LOG_LINES = 30
 
 
 class Process:
@@ -69,6 +72,12 @@
         if self.link is not None:
             self.link.close()
 
+    def read_log(self) -> str:
+        """Return what the process has logged."""
+        # Not a seek, which would move the position at which the process writes.
+        size = os.fstat(self.log.fileno()).st_size
+        return os.pread(self.log.fileno(), size, 0).decode(errors="replace")
+
     def status(self) -> dict:
         """Return the status that the router reports, empty when it does not respond."""
         try:
@@ -130,25 +139,43 @@
     assert context.status == 0, context.output
 
 
-def wait_version(processes, version: int, preset: str) -> None:
+def wait_version(context, processes, version: int, preset: str) -> None:
     """Wait until all given processes report a version and preset."""
 
     def is_in_force() -> bool:
         found = [process.status() for process in processes]
         return all(s.get("version") == version and s.get("preset") == preset for s in found)
 
-    streams_steps.wait_for(is_in_force)
+    try:
+        streams_steps.wait_for(is_in_force)
+    except TimeoutError as error:
+        raise AssertionError(f"{error}\n{describe_versions(context)}") from error
+
+
+def describe_versions(context) -> str:
+    """Return the changes that the table service holds, and what each process reports and logged."""
+    store = config_store.ConfigStore(context.deployment.platform.table, clocks.SystemClock())
+    lines = [f"accepted {h.version} at {h.at} {h.operator}: {h.summary}" for h in store.history()]
+    for number, process in enumerate(context.processes, 1):
+        status = process.status()
+        lines.append(
+            f"process {number}, exit status {process.popen.poll()}, reports version "
+            f"{status.get('version')}, preset {status.get('preset')}, "
+            f"members {status.get('members')}; end of its log:"
+        )
+        lines += process.read_log().splitlines()[-LOG_LINES:]
+    return "\n".join(lines)
 
 
 @then('all processes report version {version:d} and preset "{preset}"')
 def step_all_report(context, version, preset):
-    wait_version(context.processes, version, preset)
+    wait_version(context, context.processes, version, preset)
 
 
 @then('all processes except {number:d} report version {version:d} and preset "{preset}"')
 def step_others_report(context, number, version, preset):
     others = [p for n, p in enumerate(context.processes, 1) if n != number]
-    wait_version(others, version, preset)
+    wait_version(context, others, version, preset)
 
 
 @when("process {number:d} is killed")
@@ -290,8 +317,7 @@
 
 @then('its log contains "{text}"')
 def step_log(context, text):
-    context.exited.log.seek(0)
-    assert text in context.exited.log.read().decode()
+    assert text in context.exited.read_log(), context.exited.read_log()
 
 
 @when("the platform goes down permanently and a third process starts")
