Start router processes of tests in process groups of their own

"A change reaches every router, also after one was killed and another was paused" failed once: version 3 was not reported by both processes within 30 s.

Cause, of the test: process 2 was dead. When the shell that started the tests as a job exits, their process group becomes orphaned, and the system sends SIGHUP and SIGCONT to its stopped processes. Process 2 is stopped for some seconds (6.6 s in a run that passed); SIGHUP ends a router of the product interface. That it did then is inferred, as the logs of that run are gone.

Each router process has its own group, which does not become orphaned while the tests run.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -13,6 +13,11 @@
     And process 2 resumes
     Then all processes except 3 report version 3 and preset "ordinary"
 
+  # Guards against SIGHUP and SIGCONT, which the system sends to a stopped process of an orphaned job.
+  Scenario: A paused process stays paused when the shell that started the tests exits
+    When a shell starts tests that pause a process, and exits during the pause
+    Then the process was still paused, and responded when it resumed
+
   Scenario: Routers keep serving in a network partition and rejoin after it
     Given stand-ins of "centre" and 3 router processes with interruptible links
     When all links drop traffic
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -1,5 +1,6 @@
 """Steps of processes.feature."""
 
+import ctypes
 import json
 import os
 import signal
@@ -17,13 +18,27 @@
 
 DATA_CENTRES = ("tbilisi-1", "tbilisi-2", "tbilisi-3")
 EXIT_TIMEOUT_SECONDS = 30.0
+SHELL_TIMEOUT_SECONDS = 60.0
+# Starts tests as a job and exits once a file exists.
+SHELL_SCRIPT = """
+set -m
+"$0" -m features.shell_exit "$1" &
+until [ -e "$1" ]; do sleep 0.1; done
+"""
 SECOND_SIGNAL_DELAY_SECONDS = 0.5
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
 # Lines of the log of a process that a failed step prints.
 LOG_LINES = 30
 
 
+def end_with_parent() -> None:
+    """Let the system kill this process when its parent ends, also without its cleanups."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Process:
-    """One bronzemux-router process.
+    """One bronzemux-router process, in a process group of its own.
 
     Args:
       number: Number of the process and of its VM, from 1.
@@ -56,6 +71,10 @@
             stdin=subprocess.DEVNULL,
             stdout=self.log,
             stderr=subprocess.STDOUT,
+            # When the shell that started the tests exits, the system sends SIGHUP and SIGCONT to
+            # the stopped processes of the tests' group.
+            process_group=0,
+            preexec_fn=end_with_parent,
         )
 
     @property
@@ -252,6 +271,24 @@
     step_dead(context, other, name)
 
 
+@when("a shell starts tests that pause a process, and exits during the pause")
+def step_shell_exits(context):
+    with tempfile.TemporaryDirectory() as folder:
+        command = ["bash", "-c", SHELL_SCRIPT, sys.executable, f"{folder}/paused"]
+        shell = subprocess.Popen(
+            command, cwd=ctl_steps.ROOT, start_new_session=True, stdout=subprocess.PIPE
+        )
+        output, _ = shell.communicate(timeout=SHELL_TIMEOUT_SECONDS)
+    context.found = json.loads(output)
+
+
+@then("the process was still paused, and responded when it resumed")
+def step_still_paused(context):
+    found = context.found
+    assert found["state"] == "T" and found["exit_status"] is None, found
+    assert found["status"], found
+
+
 @when("process {number:d} resumes")
 def step_resume(context, number):
     context.processes[number - 1].popen.send_signal(signal.SIGCONT)
