Trace mixed streams in the soak, let its command choose faults

What was missing: the soak printed the events of a stream of two software versions, but neither the log of faults nor those of the gateways name the process that ran it: `reinstall` and `release` draw their endpoint after the fault was logged.

The soak now prints, for each mixed stream, when the processes of its endpoints ended and accepted connections, with incarnation and software, when their entries were written, the runs, the attempts and the faults. `--faults=a,b` draws from some faults only, as `SoakRun` could before.

The checker judges as before.

--- a/features/soak.py
+++ b/features/soak.py
@@ -151,12 +151,28 @@
             "sequence": self.heartbeats,
             "state": self.state,
         }
+        self._record(f"writes an entry, heartbeat {self.heartbeats}, {self.state}")
         return super().entry(**(fields | changes))
 
+    def take_down(self) -> None:
+        """Refuse connections and reset the open ones."""
+        self._record("ends")
+        self.proxy.take_down()
+
+    def bring_up(self) -> None:
+        """Accept connections again."""
+        self.proxy.bring_up()
+        self._record("accepts connections")
+
+    def _record(self, what: str) -> None:
+        process = f"{what} (start {self.started_at_ms}, {self.software})"
+        event = soak_checker.EndpointEvent(self.identity, process, time.monotonic())
+        self.history.events.append(event)
+
     def crash(self) -> None:
-        """Refuse connections and reset the open ones; `SoakRun` brings it back."""
+        """End the process; `SoakRun` brings it back."""
         if not self.proxy.is_down:
-            self.proxy.take_down()
+            self.take_down()
             gevent.spawn(self.on_crash, self)
 
     def _serve(self, channel, head, body: bytes) -> bool:
@@ -706,9 +722,9 @@
     def _crash_worker(self, process, worker, seconds) -> None:
         if worker.proxy.is_down:
             return
-        worker.proxy.take_down()
+        worker.take_down()
         gevent.sleep(seconds)
-        worker.proxy.bring_up()
+        worker.bring_up()
 
     def _add_crashing_part(self, process, worker, seconds) -> None:
         """Let callers send, from now on, requests with a part on which endpoints crash."""
@@ -724,7 +740,7 @@
         if worker.identity in self.workers:
             self._write_entry(worker)
         if worker.proxy.is_down:
-            worker.proxy.bring_up()
+            worker.bring_up()
 
     def _replace_worker(self, process, worker, seconds, software: str = "") -> None:
         """Start another endpoint, then drain an endpoint and remove it from the store.
@@ -768,13 +784,13 @@
         worker, software = self._draw_release()
         if worker.proxy.is_down:
             return
-        worker.proxy.take_down()
+        worker.take_down()
         self._record_software_end(worker)
         gevent.sleep(seconds / 4)
         worker.software = software
         worker.started_at_ms += 1
         if worker.proxy.is_down:
-            worker.proxy.bring_up()
+            worker.bring_up()
         gevent.sleep(max(0.0, self.random.uniform(-1, 1) * MAX_ENTRY_DELAY_SECONDS))
         if worker.identity in self.workers:
             self._write_entry(worker)
@@ -874,6 +890,8 @@
             gevent.joinall([*callers, *helpers], timeout=STREAM_DEADLINE_MS / 1000 + 2.0)
             for line in soak_checker.mixed_streams(self.history):
                 print(line, file=sys.stderr)
+            for line in soak_checker.trace_mixed_streams(self.history):
+                print(line, file=sys.stderr)
             return violations + soak_checker.check(self.history)
         finally:
             self._stop_all()
@@ -1015,6 +1033,7 @@
     """Run one seed in a subprocess; return the seed and its output."""
     command = [sys.executable, "-m", "features.soak", f"--seeds={seed}", "--jobs=0"]
     command += [f"--seconds={arguments.seconds}"]
+    command += [f"--faults={arguments.faults}"]
     if arguments.keep:
         command.append(f"--keep={arguments.keep}")
     with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE) as child:
@@ -1044,13 +1063,17 @@
         default=3,
         help="number of seeds to run in parallel, 0 to run a single seed in this process",
     )
+    parser.add_argument(
+        "--faults", default="", help="faults to draw from, separated by commas; empty for all"
+    )
     parser.add_argument("--keep", default="", help="folder in which settings and logs are kept")
     arguments = parser.parse_args(command_line)
     gevent.signal_handler(signal.SIGTERM, terminate_seed_processes)
     if not arguments.jobs:
         (seed,) = parse_seeds(arguments.seeds)
         keep = pathlib.Path(arguments.keep) / str(seed) if arguments.keep else None
-        violations = run_seed(seed, arguments.seconds, keep)
+        faults = tuple(filter(None, arguments.faults.split(",")))
+        violations = run_seed(seed, arguments.seconds, keep, fault_names=faults)
         print("\n".join(violations[:MAX_PRINTED_VIOLATIONS]) or "no promise broken")
         if len(violations) > MAX_PRINTED_VIOLATIONS:
             print(f"and {len(violations) - MAX_PRINTED_VIOLATIONS} more")
--- a/features/soak_checker.py
+++ b/features/soak_checker.py
@@ -52,6 +52,8 @@
 STREAM_KINDS = frozenset({"classify", "draft"})
 # Streams that may hold events of two software versions.
 TOLERATED_MIXED_STREAMS = 2
+# Time before a mixed stream that its trace covers.
+TRACE_SECONDS = 20.0
 # Streams that have to be taken up before their share that goes on is judged, the least share in
 # relation to that of new streams, and the endpoints of the version that have to serve.
 MIN_TAKE_UPS = 12
@@ -257,6 +259,21 @@
     is_planned: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class EndpointEvent:
+    """What became of the process of an endpoint, or of its entry.
+
+    Attributes:
+      endpoint: Identity of the endpoint.
+      what: What happened, with the incarnation and software of the process.
+      at: Monotonic time in seconds.
+    """
+
+    endpoint: str
+    what: str
+    at: float
+
+
 @dataclasses.dataclass
 class History:
     """Record of one run.
@@ -272,6 +289,7 @@
       idle_timeouts: Idle timeouts of the configurations in seconds, in the order of the run.
       part_crashes: Request id and monotonic time of each crash on a prompt part, by part.
       software: Times in which model endpoints served with a version of their software.
+      events: Ends and starts of the processes of endpoints, and their entries, by time.
     """
 
     attempts: list[RequestAttempt] = dataclasses.field(default_factory=list)
@@ -284,6 +302,7 @@
     idle_timeouts: list[float] = dataclasses.field(default_factory=lambda: [5.0])
     part_crashes: dict[str, list[tuple[str, float]]] = dataclasses.field(default_factory=dict)
     software: list[SoftwareInterval] = dataclasses.field(default_factory=list)
+    events: list[EndpointEvent] = dataclasses.field(default_factory=list)
 
     def is_undisturbed(
         self,
@@ -404,6 +423,36 @@
     return found
 
 
+def trace_mixed_streams(history: History) -> list[str]:
+    """Describe what the endpoints of mixed streams, and the routers, went through until they ended.
+
+    Each line begins with the seconds since the first attempt of the stream.
+    """
+    lines = []
+    for attempts in _streams(history).values():
+        if len({software for attempt in attempts for _, software in attempt.events()}) < 2:
+            continue
+        ids = {attempt.id for attempt in attempts}
+        runs = [run for run in history.executions if run.id in ids]
+        names = {run.endpoint for run in runs}
+        found = [(event.at, f"{event.endpoint} {event.what}") for event in history.events]
+        found = [item for item in found if item[1].split()[0] in names]
+        found += [(run.started_at, f"{run.endpoint} runs {run.id}") for run in runs]
+        for attempt in attempts:
+            found.append((attempt.sent_at, f"{attempt.id} is sent to {attempt.router}"))
+            found.append((attempt.ended_at, f"{attempt.id} ends with {attempt.events()}"))
+        for fault in history.faults:
+            found.append((fault.started_at, f"fault {fault.name} {fault.router} begins"))
+            found.append((fault.ended_at, f"fault {fault.name} {fault.router} ended"))
+        began_at, ended_at = attempts[0].sent_at, max(attempt.ended_at for attempt in attempts)
+        lines += [
+            f"{at - began_at:+.3f} {what}"
+            for at, what in sorted(found)
+            if at <= ended_at and at >= began_at - TRACE_SECONDS
+        ]
+    return lines
+
+
 def _check_streams(history: History) -> list[str]:
     """Check the joined events of each stream, as its caller sees them."""
     violations = []
