Ask processes when they started before a stream goes on

What callers saw: one stream with events of two software versions, where an endpoint had been replaced under its identity and the router that continued the stream met neither the end nor the start of the process. Until the entry arrived, the router took the process for the one of its entry: where the stream was to go on, and where it had begun.

Cause: nothing compared an entry with the process behind its address. Doubt needs a refused connection or a crash that the router met; a router that was restarted, cut off or paused, or that has no connection, meets none.

PROTOCOL: `born` is "at the top level of all that it says of itself", so a report names the process, and `engines.EngineClient.report` decoded it already, but nobody used it. Once the connection for a stream that has begun is open, the router now reads the report of its endpoint and of the endpoint that began it. A connection ends with its process, so the process that answers gets the request. A report without a start proves nothing, and the entry counts as before.

The stand-in's report lacked `born`. With it, the example "heartbeats 2 3, v1" of "Only heartbeats after a crash show that the entry still holds" was contradictory: its heartbeats are those of the old start, which then was to be another process. The step now restarts an endpoint only when its software changes, so that in this example the process whose heartbeats arrive goes on; what the scenario requires is unchanged.

Excluded: headers of responses (Response-Seal is opaque; Instance-Id and Target-Instance name the identity only). A heartbeat after the first event as a condition refuses most streams that break early.

Not solved: a process that began a stream under its predecessor's entry and has ended when the stream goes on.

--- a/bronzemux/gateway/continuation.py
+++ b/bronzemux/gateway/continuation.py
@@ -6,6 +6,8 @@
 
 import typing
 
+import gevent
+
 from bronzemux import clock as clocks
 from bronzemux import errors, logs
 from bronzemux.gateway import (
@@ -13,6 +15,7 @@
     endpoints,
     failures,
     meters,
+    orders,
     software_history,
     stream_origins,
 )
@@ -27,6 +30,10 @@
 HISTORY_POLL_SECONDS = 0.02
 # Retry-After of a refusal when the origin cannot be read for the moment.
 RETRY_AFTER_SECONDS = 0.5
+# Longest wait for the process that is asked when it started, which it answers within milliseconds:
+# for the one that is to go on, and for the one that began the stream.
+CONFIRM_SECONDS = 0.5
+CONFIRM_ORIGIN_SECONDS = 0.2
 
 
 class OriginReader(typing.Protocol):
@@ -51,6 +58,7 @@
 
     Attributes:
       reader: Reads what other routers stored; set when the gateway is assembled.
+      control: Asks endpoints for their status reports; set when the gateway is assembled.
     """
 
     def __init__(
@@ -67,6 +75,7 @@
         self.history = history
         self.meters = metrics
         self.reader: OriginReader | None = None
+        self.control: orders.EndpointControl | None = None
 
     # Beginning
 
@@ -179,6 +188,56 @@
             return True
         return state.endpoint.software == job.origin.software and not state.is_entry_doubtful
 
+    def confirm(self, job: "jobs.Job", state: endpoints.EndpointState) -> bool:
+        """Ask the processes themselves whether a stream that has begun may go on at an endpoint.
+
+        An entry may be older than the process that now has its identity and address. The connection
+        for the request must already be open: it ends with its process, so that the process which
+        answers is the one that gets the request.
+        """
+        service = self.cluster_state.configuration.services.get(job.service)
+        if job.origin is None or service is None or service.engine is None:
+            return True
+        began = self._begun_at(job.origin)
+        target = gevent.spawn(self._is_current, state)
+        first = gevent.spawn(self._is_current, began) if began not in (None, state) else None
+        try:
+            if first is not None:
+                # It may have ended, so that it never answers.
+                gevent.joinall([first], timeout=CONFIRM_ORIGIN_SECONDS)
+            gevent.joinall([target], timeout=CONFIRM_SECONDS)
+        finally:
+            gevent.killall([found for found in (target, first) if found], block=False)
+        answer = first.value if first is not None else target.value if began is state else None
+        if answer is False:
+            # Which of the two processes began the stream is not known.
+            job.origin = job.origin._replace(software="")
+        return target.value is True and self.is_possible(job)
+
+    def _begun_at(self, origin: stream_origins.StreamOrigin) -> endpoints.EndpointState | None:
+        """Return the endpoint that began a stream, None if it cannot be asked."""
+        state = self.cluster_state.endpoints.states.get(origin.endpoint)
+        if state is None or state.is_suspected:
+            return None
+        return state if state.endpoint.started_at_ms == origin.started_at_ms else None
+
+    def _is_current(self, state: endpoints.EndpointState) -> bool | None:
+        """Return whether an entry is that of the process, None when that does not answer."""
+        report = self.control.report(state.endpoint)
+        if report is None:
+            return None
+        if report.started_at_ms in (0, state.endpoint.started_at_ms):
+            return True
+        logs.event(
+            "endpoint_entry_late",
+            "warning",
+            endpoint=state.endpoint.incarnation,
+            software=state.endpoint.software,
+            started=report.started_at_ms,
+        )
+        state.doubt_entry()
+        return False
+
     def is_possible(self, job: "jobs.Job") -> bool:
         """Return whether it is certain at which software version a stream may go on."""
         return job.origin is None or self._is_certain(job.origin)
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -165,6 +165,8 @@
 
     def _send_and_receive(self):
         job, choice = self.job, self.choice
+        if not self.components.continuation.confirm(job, self.state):
+            return failures.NotExecuted("unconfirmed", has_arrived=False)
         # Between this check and the first byte, nothing lets other greenlets run.
         now = self.clock.monotonic()
         cause = self.state.withdrawal(now)
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -252,6 +252,7 @@
             origins, history, platform.table, self.peering.store_following, self.meters, clock
         )
         components.continuation.reader = self.origin_store
+        components.continuation.control = platform.endpoint_control
         history.contact_at = self._contact_at
         self.cluster_state.on_change.append(history.observe)
         self.weights_rollout = weights.WeightsRollout(
--- a/bronzemux/platform/standin_worker.py
+++ b/bronzemux/platform/standin_worker.py
@@ -417,6 +417,7 @@
             "kv_used": 0,
             "kv_total": 1000,
             "handles": 0,
+            "born": self.started_at_ms,
         }
         return self._send(channel, 200, json.dumps(document).encode(), [])
 
--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -346,6 +346,69 @@
     And the callers return at the first router
     Then each caller is refused with 503 within 1 second, and nothing ran for it
 
+  # Guards against a stream that goes on at a process of other software which started under the
+  # identity of an endpoint, when the router met neither the end nor the start and holds the entry of
+  # the process before.
+  Scenario Outline: A stream does not go on at an endpoint that restarted unnoticed
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    And another gateway
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the endpoint "lm-1" leaves
+    And <loss>
+    And the endpoint "lm-2" restarts with software "v2", and its entry stays
+    And the callers return at <place> router
+    Then each caller is refused with 503 within 1 second, and nothing ran for it
+
+    Examples:
+      | loss                   | place     |
+      | no router fails        | the first |
+      | no router fails        | another   |
+      | all routers lose power | the first |
+
+  # Guards against refusals that outlast the entry of an endpoint that restarted with its software.
+  Scenario: A stream goes on at an endpoint that restarted once its entry has arrived
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the endpoint "lm-1" leaves
+    And the endpoint "lm-2" restarts with software "v1", and its entry stays
+    And the callers return at the first router
+    And the entry of "lm-2" is written
+    Then the callers that return at the first router within 1 seconds go on at their version
+
+  # Guards against a stream that goes on at the version of an entry that was older than the process
+  # which began it, before its entry arrives.
+  Scenario: A stream that an endpoint began which restarted unnoticed does not go on elsewhere
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2 lm-3" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    And the endpoint "lm-1" restarts with software "v2", and its entry stays
+    When the streams of 6 callers from "lm-1" break after event 2
+    And the callers return at the first router, which prefers "lm-2"
+    And the callers return at the first router, which prefers "lm-2"
+    Then each caller is refused with 503 within 1 second, and nothing ran for it
+
+  # Guards against one response that goes on at the version of an entry that was older than its
+  # endpoint, before its entry arrives.
+  Scenario Outline: A response of an endpoint that restarted unnoticed is not continued
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2 lm-3" of software "v1"
+    And a gateway
+    And the endpoint "lm-1" restarts with software "v2", and its entry stays
+    When 4 callers stream "/classify/" from "lm-1", which <fault> after event 2
+    Then each caller got the events 1 to 2 of software "v2" and the end within 2 seconds
+
+    Examples:
+      | fault                       |
+      | breaks off inside an event  |
+      | sends garbage               |
+
   # Guards against a router that takes its entries for up to date while it hears nothing, as other
   # routers may use a version that it does not know.
   Scenario: A router that hears nothing for seconds does not know the only version
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -229,6 +229,7 @@
 
 
 @given('the endpoint "{name}" restarts with software "{software}", and its entry stays')
+@when('the endpoint "{name}" restarts with software "{software}", and its entry stays')
 def step_restart(context, name, software):
     worker = context.site.workers[name]
     worker.restart(software)
@@ -305,7 +306,8 @@
 def step_accepts_again(context, name, software):
     worker = context.site.workers[name]
     worker.reopen()
-    worker.restart(software)
+    if software != worker.software:
+        worker.restart(software)
     state = context.site.gateways[0].endpoints.states[name]
     gateway_support.wait_for(lambda: not state.is_suspected)
 
@@ -491,6 +493,12 @@
     run_all(StreamCaller.take_up, context.callers, PLACES[place])
 
 
+@when('the callers return at the first router, which prefers "{name}"')
+def step_return_preferring(context, name):
+    with preferred(context, name):
+        run_all(StreamCaller.take_up, context.callers, 0)
+
+
 @when("the callers return at {place} router, and their streams break after event {last:d}")
 def step_return_again(context, place, last):
     run_all(StreamCaller.take_up, context.callers, PLACES[place], last)
