Keep an endpoint of the soak down when a delay of its traffic ends

Cause: `delay` ended with `clear_faults`, which also brings up an endpoint that `crash` or `reinstall` has taken down. With `reinstall` the old process served again, and was then given other software without the end of a connection: a router cannot know that, and streams became mixed that no router mixed. PROTOCOL knows no such endpoint: each start is a new lifetime.

The checker is unchanged. The example "delay" of the new scenario failed before: the endpoint ended and started without a second start of its process. "crash" passed.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,19 @@
       | release               | continue streams at any software version            | ORDER     |
       | odd                   | refuse streams that callers take up                 | LOST      |
 
+  # Guards against a stream that the soak itself mixes: an endpoint that serves while it is restarted,
+  # with other software from one event to the next, or an entry that no process has written.
+  Scenario Outline: An endpoint of the soak restarts with other software while another fault <what>
+    Given the endpoints of a soak without gateways
+    When an endpoint is reinstalled <seconds> seconds after the start of a fault "<fault>" there
+    Then its process accepted nothing and wrote no entry between its end and its next start
+    And each of its processes wrote its entry
+
+    Examples:
+      | fault   | seconds | what                             |
+      | delay   | 0.02    | delays its traffic               |
+      | crash   | 0.02    | crashes it                       |
+
   Scenario Outline: Callers of the soak see whether a request was read before its connection ended
     When a server closes a connection <when>
     Then the caller finds that the request was <outcome>
--- a/features/soak.py
+++ b/features/soak.py
@@ -670,7 +670,8 @@
         proxy = self.random.choice((process.peer_proxy, process.store_proxy, worker.proxy))
         proxy.delay_seconds = self.random.uniform(0.02, 0.3)
         gevent.sleep(seconds)
-        proxy.clear_faults()
+        # An endpoint that another fault has taken down stays down.
+        proxy.delay_seconds = 0.0
 
     def _reset_connections(self, process, worker, seconds) -> None:
         for proxy in (process.peer_proxy, process.store_proxy, worker.proxy):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,7 +1,10 @@
 """Steps of soak.feature."""
 
+import collections
+import itertools
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -110,6 +113,69 @@
     assert context.process.child.poll() is None
 
 
+class FirstOrLast(random.Random):
+    """Random numbers that are the least ones, and choices of the last item."""
+
+    def choice(self, seq):
+        """Return the last item: of `soak`, the endpoint's proxy, and a store that is away."""
+        return seq[-1]
+
+    def uniform(self, a, b):
+        """Return the lower limit."""
+        return a
+
+
+@given("the endpoints of a soak without gateways")
+def step_soak_without_gateways(context):
+    folder = pathlib.Path(tempfile.mkdtemp())
+    context.cleanups.append(lambda: shutil.rmtree(folder))
+    context.soak = soak.SoakRun(-1, folder)
+    context.cleanups.append(context.soak._stop_all)
+    context.soak.random = FirstOrLast()
+    context.soak.copies.append(context.soak.store.copy())
+
+
+@when('an endpoint is reinstalled {seconds:g} seconds after the start of a fault "{fault}" there')
+def step_reinstall_during(context, seconds, fault):
+    run = context.soak
+    process = run.processes[0]
+    worker = context.worker = run.workers["lm-3"]
+    run._draw_release = lambda: (worker, "v2")
+    running = [gevent.spawn(soak.FAULTS[fault], run, process, worker, 0.4)]
+    gevent.sleep(seconds)
+    running.append(gevent.spawn(run._reinstall, process, worker, 2.0))
+    gevent.joinall(running, raise_error=True)
+
+
+def events_of(context) -> list[str]:
+    """Return what became of the endpoint."""
+    events = context.soak.history.events
+    return [event.what for event in events if event.endpoint == context.worker.identity]
+
+
+@then("its process accepted nothing and wrote no entry between its end and its next start")
+def step_ended(context):
+    what = [event.partition(" ")[0] for event in events_of(context)]
+    assert "ends" in what and not context.worker.proxy.is_down, events_of(context)
+    for previous, following in itertools.pairwise(what):
+        if previous == "ends":
+            assert following == "accepts", events_of(context)
+    assert what.count("ends") == what.count("accepts"), events_of(context)
+
+
+@then("each of its processes wrote its entry")
+def step_wrote(context):
+    assert not context.worker.proxy.is_down
+    processes = collections.defaultdict(set)
+    for event in events_of(context):
+        what, _, process = event.partition(" (")
+        processes[process].add(what.partition(" ")[0])
+    now = f"start {context.worker.started_at_ms}, {context.worker.software})"
+    assert "writes" in processes[now], events_of(context)
+    for process, found in processes.items():
+        assert "writes" in found, (process, events_of(context))
+
+
 @when("a server closes a connection {when}")
 def step_close(context, when):
     with socket.create_server(("127.0.0.1", 0)) as listener:
