Let endpoints of the soak write entries only while they run

What was seen, in the new examples of the scenario, which failed before: while `reinstall` had an endpoint down, - `restore` wrote a further heartbeat for it, and `leave` an entry of a start that never ran. Both tell a router, which heeds them, that the process lives; after two heartbeats it takes the next process for the one before. As `restore` writes entries of all endpoints at once, this needs two faults within the 1.2 s in which the endpoint is down; - `replace` let it drain and dropped it from `workers`, so that the process that then started, with other software, never wrote its entry.

Cause: only `reinstall` and `crash` heeded that an endpoint was down. By PROTOCOL an entry is written by its worker, and "a worker that crashes sends nothing"; no worker serves under an id without having registered. All three are errors of the soak, not ways in which a router may fail.

`leave` and `replace` now wait until the endpoint runs, and `restore` puts back the entry that the ended process wrote last. The checker is unchanged, and late entries, of up to 0.3 s and longer where the store is away, remain.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -55,6 +55,11 @@
       | fault   | seconds | what                             |
       | delay   | 0.02    | delays its traffic               |
       | crash   | 0.02    | crashes it                       |
+      | restore | 0.02    | restores the store               |
+      | leave   | 1.95    | lets it leave                    |
+      | leave   | 0.02    | has just let it leave            |
+      | replace | 0.4     | is about to let it drain         |
+      | replace | 0.02    | has started an endpoint          |
 
   Scenario Outline: Callers of the soak see whether a request was read before its connection ended
     When a server closes a connection <when>
--- a/features/soak.py
+++ b/features/soak.py
@@ -93,6 +93,7 @@
 CRASHING_REQUEST_RATIO = 3
 MAX_CRASHING_PARTS = 2
 ENDPOINT_RESTART_SECONDS = 1.0
+PROCESS_POLL_SECONDS = 0.02
 SOFTWARE_VERSIONS = ("v1", "v2", "v3")
 # Longest time until the entry of an endpoint that restarted with other software is written.
 MAX_ENTRY_DELAY_SECONDS = 0.3
@@ -118,7 +119,11 @@
 
 
 class RecordingWorker(standin_worker.StandInWorker):
-    """Stand-in endpoint behind a proxy that records the requests and load orders it receives."""
+    """Stand-in endpoint behind a proxy that records the requests and load orders it receives.
+
+    Attributes:
+      written_entry: Its entry as it was last written.
+    """
 
     def __init__(
         self,
@@ -134,6 +139,7 @@
         self.on_crash = lambda worker: None
         self.state = "ready"
         self.heartbeats = 0
+        self.written_entry: dict = {}
         self.event_seconds = 0.03
         self.execution_seconds = 0.02
         self.start()
@@ -152,7 +158,8 @@
             "state": self.state,
         }
         self._record(f"writes an entry, heartbeat {self.heartbeats}, {self.state}")
-        return super().entry(**(fields | changes))
+        self.written_entry = super().entry(**(fields | changes))
+        return self.written_entry
 
     def take_down(self) -> None:
         """Refuse connections and reset the open ones."""
@@ -417,6 +424,11 @@
     def _write_entry(self, worker: RecordingWorker) -> None:
         self.store.put("servers", worker.identity, worker.entry())
 
+    def _await_process(self, worker: RecordingWorker) -> None:
+        """Wait until an endpoint runs, as one that has ended writes no entry."""
+        while worker.proxy.is_down:
+            gevent.sleep(PROCESS_POLL_SECONDS)
+
     def _write_configuration(self) -> None:
         routes = list(gateway_support.configuration()["routes"])
         routes += [gateway_support.route(name, "safe", "app") for name, _ in self.added_routes]
@@ -709,7 +721,11 @@
         if self.weights_version > 1:
             self._write_target()
         for found in self.registered.values():
-            self._write_entry(found)
+            if found.proxy.is_down:
+                # A process that has ended writes nothing; the copy may have had its entry.
+                self.store.put("servers", found.identity, found.written_entry)
+            else:
+                self._write_entry(found)
         # The store expires the entries of endpoints that are gone.
         for table, key in list(self.store.rows):
             if table == "servers" and key not in self.registered and key not in self.odd_keys:
@@ -757,6 +773,7 @@
         name = f"{worker.service}-n{next(self.numbers)}"
         self._add_worker(name, worker.service, worker.weights, software or worker.software)
         gevent.sleep(0.5)
+        self._await_process(worker)
         if self.workers.pop(worker.identity, None) is None:
             # Another fault has replaced it meanwhile.
             return
@@ -803,6 +820,7 @@
         Its entry says so as well, or does not, or the store is away meanwhile.
         """
         form = self.random.choice(("draining entry", "ready entry", "no store"))
+        self._await_process(worker)
         worker.is_leaving = True
         running = []
         if form == "draining entry":
@@ -812,6 +830,7 @@
             running.append(gevent.spawn(self._inject, "store", process, worker, seconds))
         gevent.sleep(soak_checker.DRAIN_PROPAGATION_SECONDS + seconds)
         gevent.joinall(running, raise_error=True)
+        self._await_process(worker)
         if worker.identity in self.workers:
             worker.is_leaving, worker.state = False, "ready"
             worker.started_at_ms += 1
