Take an endpoint of the soak down while a starting process has its socket

Cause: a gateway that is just being started has, between fork and exec, a copy of the proxy's listening socket. `bring_up` tried again for that reason, `take_down` did not. Connections are reset before the first try, so that those of the ended process do not outlast it.

Evidence: the new scenario, in which a copy of the socket is closed 0.3 s after the end, failed before with the same error.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -61,6 +61,12 @@
       | replace | 0.4     | is about to let it drain         |
       | replace | 0.02    | has started an endpoint          |
 
+  # Guards against a run that ends with an error of the soak's own.
+  Scenario: An endpoint of the soak ends while a process that is being started has its socket
+    Given the endpoints of a soak without gateways
+    When an endpoint ends, and a copy of its socket is closed 0.3 seconds later
+    Then it refuses connections, and accepts them once it has started again
+
   Scenario Outline: Callers of the soak see whether a request was read before its connection ended
     When a server closes a connection <when>
     Then the caller finds that the request was <outcome>
--- a/features/soak_proxy.py
+++ b/features/soak_proxy.py
@@ -121,25 +121,37 @@
         self.is_down = True
         self.server.stop_accepting()
         self.server.close()
-        # A bound socket that does not listen refuses connections, and keeps the port from others.
-        self.reservation = socket.socket()
-        self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        host, _, port = self.address.rpartition(":")
-        self.reservation.bind((host, int(port)))
         self.reset_connections()
+        host, _, port = self.address.rpartition(":")
+        self._bind(lambda: self._reserve((host, int(port))))
 
     def bring_up(self) -> None:
         """Listen again at the same address."""
         host, _, port = self.address.rpartition(":")
         self.is_down = False
         self.reservation.close()
+        self._bind(lambda: self._listen((host, int(port))))
+
+    def _reserve(self, address: tuple[str, int]) -> None:
+        """Bind a socket that does not listen: it refuses connections, and keeps the port."""
+        self.reservation = socket.socket()
+        self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.reservation.bind(address)
+
+    def _listen(self, address: tuple[str, int]) -> None:
+        self.server = gevent.server.StreamServer(address, self._accept)
+        self.server.start()
+
+    def _bind(self, function) -> None:
+        """Call a function that binds a socket, again for a while if the address is in use.
+
+        A process that is just being started may still have a copy of the old socket.
+        """
         for attempt in range(BIND_ATTEMPTS):
-            self.server = gevent.server.StreamServer((host, int(port)), self._accept)
             try:
-                self.server.start()
+                function()
                 return
             except OSError as error:
-                # A process that is just being started may still have a copy of the old socket.
                 if attempt == BIND_ATTEMPTS - 1 or error.errno != errno.EADDRINUSE:
                     raise
                 gevent.sleep(BIND_PAUSE_SECONDS)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,6 +13,7 @@
 import gevent
 from behave import given, then, when
 
+from bronzemux.gateway import channels
 from bronzemux.platform import standin_store
 from features import broken_gateway, soak, soak_checker
 
@@ -176,6 +177,22 @@
         assert "writes" in found, (process, events_of(context))
 
 
+@when("an endpoint ends, and a copy of its socket is closed {seconds:g} seconds later")
+def step_end_with_copy(context, seconds):
+    worker = context.worker = context.soak.workers["lm-3"]
+    copy = os.dup(worker.proxy.server.socket.fileno())
+    gevent.spawn_later(seconds, os.close, copy)
+    worker.take_down()
+
+
+@then("it refuses connections, and accepts them once it has started again")
+def step_refuses(context):
+    address = context.worker.proxy.address
+    assert channels.refuses(address)
+    context.worker.bring_up()
+    assert channels.accepts(address)
+
+
 @when("a server closes a connection {when}")
 def step_close(context, when):
     with socket.create_server(("127.0.0.1", 0)) as listener:
