Test the entry of a process that ended before its entry arrived

An endpoint restarts twice under its identity. The router met the first end, but the entry of the process between arrives when that has ended, and clears the doubt with its new start.

--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -368,6 +368,20 @@
       | no router fails        | another   |
       | all routers lose power | the first |
 
+  # Guards against a stream that goes on at the version of a process that has ended: it wrote its
+  # first entry, which arrives after its end, so that this router takes the next process for it.
+  Scenario: The entry of a process that has ended since does not show which one answers
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2 lm-3" of software "v1"
+    And the endpoints "lm-4" of software "v2"
+    And a gateway
+    And the endpoint "lm-1" crashes while it runs nothing, and refuses a connection
+    And the first entry of the next process of "lm-1", which has ended as well, arrives
+    And the endpoint "lm-1" accepts connections again with software "v2", and its entry stays
+    When the streams of 6 callers from "lm-2" break after event 2
+    And the callers return at the first router, which prefers "lm-1"
+    Then each caller is refused with 503 within 1 second, or goes on at its version
+
   # Guards against refusals that outlast the entry of an endpoint that restarted with its software.
   Scenario: A stream goes on at an endpoint that restarted once its entry has arrived
     Given a platform with a configuration
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -300,6 +300,14 @@
         gateway_support.wait_for(lambda number=number: state.endpoint.heartbeats == number)
 
 
+@given('the first entry of the next process of "{name}", which has ended as well, arrives')
+def step_entry_of_ended(context, name):
+    states = context.site.gateways[0].endpoints.states
+    entry = context.site.workers[name].entry(born=states[name].endpoint.started_at_ms + 500)
+    context.site.store.put("servers", name, entry)
+    gateway_support.wait_for(lambda: states[name].endpoint.started_at_ms == entry["born"])
+
+
 @given(
     'the endpoint "{name}" accepts connections again with software "{software}", and its entry stays'
 )
