Correct what is said of the limit of origin writes

Cause: DESIGN, CAPACITY and a comment said that all routers together make at most 150 writes a second while the store is slow. The pause ends after N/150 s at the latest, so that holds only once a write takes N/750 s; before, they may use all that the partition takes.

--- a/bronzemux/gateway/stream_origins.py
+++ b/bronzemux/gateway/stream_origins.py
@@ -29,11 +29,11 @@
 MAX_SCANNED_ROWS = 500
 # Origins that wait for the store; older ones are dropped.
 MAX_PENDING = 5000
-# Writes of all routers together in a second while the store is slow, well below the 300 that one
-# partition of it takes.
+# Writes of all routers together in a second when each takes longest; one partition of the store
+# takes 300. While it is quick, only `PAUSE_RATIO` limits them.
 WRITES_PER_SECOND = 150
 # Pause after a write, in times that the write took, so that routers write less often while others
-# wait for the store. Never longer than the limit above requires.
+# wait for the store. It ends at the latest when the rate above allows the next write.
 PAUSE_RATIO = 4.0
 # Rows of streams that have ended are removed when others are written, or after so long without.
 REMOVAL_DELAY_SECONDS = 5.0
