Separate what a team computed before it was isolated from other teams

Cause: the cache salt of teams that are not isolated named the model and its weights only. It stayed the same when a team became isolated, so the others still read where that team had written. A team that was no longer isolated met them again under the same salt. The class: a name that stays the same when the set of those who may use what it names changes.

Change: the namespace of the teams that are not isolated is named after the set of those that are. A team writes there only while it is not in the set, so nobody who reads there finds what a team of the set made, in whatever order isolation changed and whichever versions a router saw. The namespace comes from the configuration in force when a request is sent, not from that of its arrival, and a team also counts as isolated if it has no keys. The event `configuration` names the isolated teams.

Evidence: the salts in the endpoint's record were equal before and after.

--- a/bronzemux/gateway/cache_index.py
+++ b/bronzemux/gateway/cache_index.py
@@ -1,12 +1,13 @@
 """Index of the prompt prefixes that endpoints and cache stores are assumed to have cached.
 
 A prefix is identified by the cache salt and the prompt parts up to its end. The salt contains the
-weights version and, for an isolated team, the team, so an entry never matches other weights or
+weights version and the namespace of the team, so an entry never matches other weights or isolated
 teams.
 """
 
 import collections
 import dataclasses
+import functools
 import hashlib
 from collections.abc import Callable, Set
 
@@ -22,12 +23,47 @@
 MAX_PENDING_UPDATES = 256
 # Long enough that among a million prefixes two keys collide in one of 10^7 deployments.
 KEY_BYTES = 8
+# The names of namespaces have to differ for any names of teams.
+NAMESPACE_BYTES = 16
 # Epoch recorded for a cache store that does not answer.
 STORE_DOWN = -1
 
 PrefixKey = bytes
 
 
+def namespace_of(team: model.Team | None, isolated_teams: frozenset[str]) -> str:
+    """Return the namespace of the prompt parts of a team's requests.
+
+    Each isolated team has a namespace of its own; the other teams share one. Endpoints do not
+    record who computed a part, so the shared namespace depends on which teams are isolated: once a
+    team is, the others no longer use the namespace to which it has contributed. Namespaces depend
+    on nothing else, so routers with the same configuration agree on them without having seen
+    earlier ones.
+
+    Args:
+      team: The team, None for a request without one.
+      isolated_teams: Names of all isolated teams.
+
+    Returns:
+      The namespace, empty for that of all teams while none is isolated.
+    """
+    if team is not None and team.name in isolated_teams:
+        return f"team-{_digest(team.name)}"
+    return _shared_namespace(isolated_teams)
+
+
+@functools.lru_cache
+def _shared_namespace(isolated_teams: frozenset[str]) -> str:
+    if not isolated_teams:
+        return ""
+    # Digests have one length, so different sets of names never give the same text.
+    return f"shared-{_digest(''.join(sorted(map(_digest, isolated_teams))))}"
+
+
+def _digest(text: str) -> str:
+    return hashlib.blake2b(text.encode(), digest_size=NAMESPACE_BYTES).hexdigest()
+
+
 def prefix_keys(salt: str, parts: tuple[model.PromptPart, ...]) -> list[tuple[PrefixKey, int]]:
     """Return the key and the length in tokens of each prefix that ends with a part.
 
--- a/bronzemux/gateway/cluster_state.py
+++ b/bronzemux/gateway/cluster_state.py
@@ -284,6 +284,7 @@
             known=known,
             row=store_version.text(row.version),
             source=source,
+            isolated=",".join(sorted(found.isolated_teams)),
             outcome="in force" if is_newer else "ignored, not newer",
         )
         if is_newer:
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -52,6 +52,7 @@
     Attributes:
       has_begun: Whether an event of the response has arrived.
       is_quarantined: Whether it was aborted because its request crashes endpoints.
+      salt: Cache salt, empty for a plain service.
       successor: Choice that takes over the request, None when none was reserved.
     """
 
@@ -81,6 +82,7 @@
         self.is_quarantined = False
         self.is_suspect = False
         self.is_reused = False
+        self.salt = choice.salt
 
     def release_backlog(self) -> None:
         """Subtract the prompt from the endpoint's prefill backlog."""
@@ -178,13 +180,14 @@
             cause = "replaced"
         if cause:
             return failures.NotExecuted(cause, has_arrived=False)
+        self._update_salt()
         directives = model.Directives(
             endpoint=self.state.endpoint,
             remaining_seconds=job.deadline_at - self.clock.monotonic(),
             team=job.team.name if job.team else "",
             urgency=job.urgency if choice.weights is not None else None,
             weights=choice.weights,
-            cache_salt=choice.salt,
+            cache_salt=self.salt,
             fetch_from=choice.fetch_from,
             save_to=choice.save_to,
             last_event_id=job.last_event_id,
@@ -227,6 +230,18 @@
         self._send_response(response, body)
         return failures.Delivered(response.status)
 
+    def _update_salt(self) -> None:
+        """Use the cache salt of the configuration that is in force when the request is sent.
+
+        It may have replaced the one with which the endpoint was chosen, or under which the run that
+        this one continues began.
+        """
+        prompt = self.job.request.prompt
+        if prompt is not None and self.choice.weights is not None:
+            configuration = self.components.cluster_state.configuration
+            namespace = cache_index.namespace_of(self.job.team, configuration.isolated_teams)
+            self.salt = placement.cache_salt(prompt.model, self.choice.weights, namespace)
+
     def _read_final_head(self) -> http1.Head | None:
         """Return the head of the final response, None when the connection ends before it.
 
@@ -438,7 +453,7 @@
 
     def _prefix_keys(self) -> list[tuple[bytes, int]]:
         parts = self.job.request.prompt.shared_parts
-        return cache_index.prefix_keys(self.choice.salt, parts)
+        return cache_index.prefix_keys(self.salt, parts)
 
     def _drop_expected_prefixes(self) -> None:
         """Undo `_record_expected_prefixes`, as the endpoint did not prefill the prompt."""
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -380,7 +380,7 @@
             return next(filter(None, choices), None)
         requirements = placement.Requirements(
             prompt,
-            job.team.name if job.team and job.team.is_isolated else "",
+            cache_index.namespace_of(job.team, config.isolated_teams),
             job.route.objective_seconds,
             self._newest_version_before(prompt.model, now - self._max_weights_age_seconds()),
             self._newest_version_before(prompt.model, now - STALE_WEIGHTS_GRACE_SECONDS),
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -139,6 +139,7 @@
       services: Services by name.
       limits: Limits that apply to callers.
       teams: Teams by key digest; empty when the configuration defines none.
+      isolated_teams: Names of the isolated teams, also of those without keys.
       has_teams: Whether requests need an API key, except on anonymous routes.
     """
 
@@ -148,6 +149,7 @@
     limits: CallerLimits = CallerLimits()
     teams: Mapping[bytes, Team] = dataclasses.field(default_factory=dict)
     has_teams: bool = False
+    isolated_teams: frozenset[str] = frozenset()
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a request, None when none matches.
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -146,7 +146,7 @@
 
     Attributes:
       prompt: Description of its prompt.
-      team: Name of an isolated team, empty for the others.
+      namespace: Namespace of the prompt parts of its team.
       objective_seconds: Objective for the time to its first event.
       min_weights: Oldest version of the weights on which it may still start.
       current_weights: Version below which weights are stale, so that using them has a cost.
@@ -156,7 +156,7 @@
     """
 
     prompt: model.Prompt
-    team: str
+    namespace: str
     objective_seconds: float
     min_weights: int
     current_weights: int
@@ -363,7 +363,7 @@
       view: State of this gateway besides the endpoints.
       now: Monotonic seconds.
     """
-    salt = cache_salt(requirements.prompt.model, weights, requirements.team)
+    salt = cache_salt(requirements.prompt.model, weights, requirements.namespace)
     keys = cache_index.prefix_keys(salt, requirements.prompt.shared_parts)
     known_holders = [(view.index.holders_of(key), tokens) for key, tokens in keys]
     local_tokens, holders, longest_tokens = {}, [], 0
@@ -490,12 +490,12 @@
     return hashlib.blake2b(key + name, digest_size=8).digest()
 
 
-def cache_salt(model_name: str, weights: int, team: str) -> str:
+def cache_salt(model_name: str, weights: int, namespace: str) -> str:
     """Return the cache salt: requests share cached prefixes only under the same salt.
 
     Args:
       model_name: Name of the model.
       weights: Version of its weights.
-      team: Name of an isolated team, empty for the others.
+      namespace: Namespace of the prompt parts, see `cache_index.namespace_of`.
     """
-    return f"{model_name}/{weights}/{team}" if team else f"{model_name}/{weights}"
+    return f"{model_name}/{weights}/{namespace}" if namespace else f"{model_name}/{weights}"
--- a/bronzemux/platform/documents.py
+++ b/bronzemux/platform/documents.py
@@ -62,10 +62,12 @@
         route = _route(fields.table(item, "route"))
         routes.setdefault(route.host, []).append(route)
     services = [_service(fields.table(s, "service")) for s in fields.items(document, "services")]
-    teams = {}
+    teams, isolated_teams = {}, set()
     for item in fields.items(document, "tenants", []):
         team = _team(fields.table(item, "tenant"))
         teams.update(dict.fromkeys(team.key_digests, team))
+        if team.is_isolated:
+            isolated_teams.add(team.name)
     return model.Configuration(
         version=fields.integer(document, "version"),
         routes={
@@ -76,6 +78,7 @@
         limits=_limits(fields.table(document.get("limits") or {}, "limits")),
         teams=teams,
         has_teams="tenants" in document,
+        isolated_teams=frozenset(isolated_teams),
     )
 
 
--- /dev/null
+++ b/features/steps/cache_namespace_steps.py
@@ -0,0 +1,161 @@
+"""Steps for the namespaces of cached prompt parts."""
+
+import itertools
+import json
+import math
+import random
+
+import gevent
+from behave import then, when
+
+from bronzemux.gateway import cache_index, model, placement
+from bronzemux.platform import documents
+from features import gateway_support
+
+SEED = 20261205
+TEAMS = ("clerks", "lawyers", "auditors", "press")
+
+
+def isolate(context, names: str) -> None:
+    """Put a configuration that isolates teams, and wait until the gateways have it."""
+    isolated = set(names.split(",")) - {"none"}
+    version = context.site.gateways[0].cluster_state.configuration.version + 1
+    teams = [
+        {"name": name, "api_keys": [key], "isolated": name in isolated}
+        for name, key in gateway_support.KEYS.items()
+    ]
+    context.site.store.put("op", "config", gateway_support.configuration(version, tenants=teams))
+    for gateway in context.site.gateways:
+        gateway_support.wait_for(
+            lambda state=gateway.cluster_state: state.configuration.version == version
+        )
+
+
+def send(context, team: str) -> gateway_support.Reply:
+    """Send a stream request of a team."""
+    authorization = f"Bearer {gateway_support.KEYS[team]}"
+    return context.site.send("/classify/1", Authorization=authorization)
+
+
+def salts(context) -> list[str]:
+    """Return the cache salts of the requests that were executed, in their order."""
+    executed = [seen for worker in context.site.workers.values() for seen in worker.executed]
+    executed.sort(key=lambda seen: int(seen.fields["request-id"][1:]))
+    return [seen.fields["cache-salt"] for seen in executed]
+
+
+@when('the teams "{names}" are isolated, and "{team}" sends a request')
+def step_isolate_and_send(context, names, team):
+    isolate(context, names)
+    assert send(context, team).is_whole
+
+
+@when('"{team}" sends a request')
+def step_send(context, team):
+    assert send(context, team).is_whole
+
+
+@when('a request of "{team}" waits until the team is isolated')
+def step_wait(context, team):
+    gateway = context.site.gateways[0]
+    states = gateway.endpoints.states.values()
+    for state in states:
+        state.suspended_until = math.inf
+    request = gevent.spawn(send, context, team)
+    gateway_support.wait_for(lambda: gateway.components.wait_queue.count("lm"))
+    isolate(context, team)
+    for state in states:
+        state.suspended_until = 0.0
+    assert request.get(timeout=gateway_support.TIMEOUT_SECONDS).is_whole
+
+
+@when('the gateway restarts, and "{team}" sends a request')
+def step_restart(context, team):
+    gateway_support.stop_gateway(context.site.gateways[0])
+    context.site.restart_gateway(0)
+    assert send(context, team).is_whole
+
+
+@then("the second request {uses} the namespace of the first")
+def step_compare(context, uses):
+    first, second = salts(context)[-2:]
+    assert (first == second) == (uses == "uses"), (first, second)
+
+
+@when('a configuration has the teams "{entries}"')
+def step_entries(context, entries):
+    teams = []
+    for number, entry in enumerate(entries.split(", ")):
+        name, _, properties = entry.partition(" ")
+        teams.append(
+            {
+                "name": name,
+                "api_keys": [f"key-{number}"] if "with key" in properties else [],
+                "isolated": "isolated" in properties,
+            }
+        )
+    data = json.dumps(gateway_support.configuration(tenants=teams)).encode()
+    context.configuration = documents.decode_configuration(data)
+
+
+@then('"{name}" is isolated')
+def step_is_isolated(context, name):
+    assert name in context.configuration.isolated_teams, context.configuration.isolated_teams
+
+
+def salt_of(name: str, isolated: frozenset[str]) -> str:
+    """Return the cache salt of a team's requests while some teams are isolated."""
+    namespace = cache_index.namespace_of(model.Team(name, frozenset()), isolated)
+    return placement.cache_salt("m1", 1, namespace)
+
+
+@when(
+    "{count:d} histories of {length:d} configurations are played with {routers:d} routers that may be behind"
+)
+def step_histories(context, count, length, routers):
+    rng = random.Random(SEED)
+    context.foreign_uses = []
+    context.shared_uses = 0
+    for _ in range(count):
+        # Teams that have computed parts under each salt.
+        makers: dict[str, set[str]] = {}
+        versions = [0] * routers
+        history = []
+        for newest in range(length):
+            isolated = frozenset(name for name in TEAMS if rng.random() < 0.3)
+            history.append(isolated)
+            for router in range(routers):
+                versions[router] = rng.randint(versions[router], newest)
+            for router, name in itertools.product(range(routers), TEAMS):
+                if rng.random() < 0.5:
+                    makers.setdefault(salt_of(name, history[versions[router]]), set()).add(name)
+            for name in TEAMS:
+                others = makers.get(salt_of(name, isolated), set()) - {name}
+                context.shared_uses += bool(others)
+                if others and isolated & {name, *others}:
+                    context.foreign_uses.append((newest, name, others, isolated))
+
+
+@then("no request uses parts of another team if one of the two is isolated")
+def step_no_foreign_use(context):
+    assert not context.foreign_uses, context.foreign_uses[:3]
+    assert context.shared_uses, "no request shared any part"
+
+
+@then('models, weights and teams with names such as "a", "a/1", "team" and "é" never share a salt')
+def step_salts_differ(context):
+    names = ["a", "a/1", "a/1/2", "team", "1", "é", "", "a\0b"]
+    groups = [frozenset(), *map(frozenset, [["a"], ["é"], ["a", "é"], ["a\0é"], ["aé"], [""]])]
+    namespaces = set()
+    for group in groups:
+        teams = [None, *(model.Team(name, frozenset()) for name in group)]
+        namespaces |= {cache_index.namespace_of(team, group) for team in teams}
+    assert len(namespaces) == len(groups) + len({n for group in groups for n in group})
+    salts_of_all = [
+        placement.cache_salt(name, weights, namespace)
+        for name in names
+        for weights in (1, 2, 12)
+        for namespace in namespaces
+    ]
+    assert len(set(salts_of_all)) == len(salts_of_all)
+    assert all(salt.encode("latin-1", "replace").decode("latin-1") == salt for salt in salts_of_all)
