Reuse a connection only if its last request was sent completely

What callers saw: a stream whose endpoint responded before it had read a long body left a connection in the pool on which the rest of that body was due.

Cause: whether a connection can carry another request was decided from arguments of the callers. `Channel.send_until_response` returned that the request was not sent, and `_relay_stream` passed a constant True to `_return_to_pool`. The class: a decision about a resource from facts that callers report. The same stop of sending left endpoints without the rest that wait for it, also after a 103.

Change: `http1.Channel` records what it has sent and received, `Channel.is_reusable` alone decides, and `ChannelPool.release` asks it. The rest of a request is sent while the response is read, until the response is complete or its status is an error; a connection with a rest is closed. A reset that sending has noticed is raised when reading ends, so that a body without length does not look complete.

--- a/bronzemux/gateway/channels.py
+++ b/bronzemux/gateway/channels.py
@@ -74,7 +74,7 @@
         return http1.Channel(sock)
 
     def release(self, incarnation: str, channel: http1.Channel, idle_seconds: float | None) -> None:
-        """Return a connection to the pool; its last response must have been read completely.
+        """Return a connection to the pool, or close it if it can't carry another request.
 
         Args:
           incarnation: Incarnation of the endpoint.
@@ -85,13 +85,11 @@
         idle_limit = (
             MAX_IDLE_SECONDS if idle_seconds is None else idle_seconds - KEEP_ALIVE_MARGIN_SECONDS
         )
-        if (
-            idle_limit <= 0
-            or len(idle_channels) >= MAX_IDLE_CHANNELS
-            or not channel.is_open_and_idle()
-        ):
+        if idle_limit <= 0 or len(idle_channels) >= MAX_IDLE_CHANNELS or not channel.is_reusable():
             channel.close()
             return
+        # A pooled connection must not keep the request in memory.
+        channel.on_read_timeout = None
         idle_channels.append(
             IdleChannel(channel, self.clock.monotonic() + min(idle_limit, MAX_IDLE_SECONDS))
         )
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -202,7 +202,7 @@
         if self._is_request_quarantined():
             return failures.NotExecuted("quarantined", has_arrived=False)
         job.is_attempt_in_flight = True
-        is_sent = self.channel.send_until_response(data, timeout)
+        self.channel.send_until_response(data, timeout)
         head = self._read_final_head()
         if head is None:
             return failures.PossiblyExecuted("lost", is_crash=not self.channel.is_aborted)
@@ -214,18 +214,20 @@
         if response.request_id != job.request.id and (response.request_id or self.is_reused):
             return failures.PossiblyExecuted("crossed")
         self.components.notices.record_pause(self.state, response)
+        if response.is_not_executed or not response.is_success:
+            self.channel.stop_sending()
         if response.is_not_executed:
-            return self._handle_rejection(response, framing, is_sent)
+            return self._handle_rejection(response, framing)
         if not response.is_success:
             body = self.channel.read_body(framing, self._max_response_bytes())
-            self._return_to_pool(response, framing, is_sent)
+            self._return_to_pool(response)
             return self._handle_error(response, body)
         if not response.is_sealed or response.request_id is None:
             return failures.PossiblyExecuted("unsealed")
         if job.route.kind is model.RouteKind.STREAM:
             return self._relay_stream(response, framing)
         body = self.channel.read_body(framing, self._max_response_bytes())
-        self._return_to_pool(response, framing, is_sent)
+        self._return_to_pool(response)
         self.state.record_latency(self.clock.monotonic() - self.started_at)
         self._send_response(response, body)
         return failures.Delivered(response.status)
@@ -316,14 +318,12 @@
             return False
         return self.components.budget.available(job.service, self.router_count, now) >= 1
 
-    def _handle_rejection(
-        self, response: model.ResponseHead, framing: http1.Framing, is_sent: bool
-    ):
+    def _handle_rejection(self, response: model.ResponseHead, framing: http1.Framing):
         """Return the result for a response that states that the request was not executed."""
         if response.weights is not None and self.job.request.prompt is not None:
             self.state.record_weights(self.job.request.prompt.model, response.weights)
         self.channel.read_body(framing, self._max_response_bytes())
-        self._return_to_pool(response, framing, is_sent)
+        self._return_to_pool(response)
         if self.choice.weights is not None and not self.choice.is_continuation:
             self._drop_expected_prefixes()
         cause = "misdirected" if response.is_misdirected else f"rejected with {response.status}"
@@ -340,17 +340,12 @@
         self._send_response(response, body)
         return failures.Delivered(response.status)
 
-    def _return_to_pool(
-        self, response: model.ResponseHead, framing: http1.Framing, is_sent: bool
-    ) -> None:
-        """Return the connection to the pool if it can carry another request."""
-        if is_sent and not response.is_closing and not framing.is_close_delimited:
-            self.is_pooled = True
-            # A pooled connection must not keep the request in memory.
-            self.channel.on_read_timeout = None
-            self.components.pool.release(
-                self.state.endpoint.incarnation, self.channel, response.idle_seconds
-            )
+    def _return_to_pool(self, response: model.ResponseHead) -> None:
+        """Return the connection to the pool, which closes it if it can't carry another request."""
+        self.is_pooled = True
+        self.components.pool.release(
+            self.state.endpoint.incarnation, self.channel, response.idle_seconds
+        )
 
     def _send_response(self, response: model.ResponseHead, body: bytes) -> None:
         self.job.first_at = self.clock.monotonic()
@@ -387,7 +382,7 @@
             )
         if not self.job.is_response_started:
             self._send_head(response)
-        self._return_to_pool(response, framing, True)
+        self._return_to_pool(response)
         self.caller.send(http1.LAST_CHUNK)
         return failures.Delivered(response.status)
 
--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -206,8 +206,17 @@
 class Channel:
     """Buffered HTTP/1.1 connection over a socket; read and written by one greenlet at a time.
 
+    It records what has been sent and received, as that decides whether it can carry another request.
+
     Args:
       sock: Connected socket.
+
+    Attributes:
+      unsent: Rest of the last request, which the remote end has not accepted.
+      is_sending: Whether that rest is sent while the response is read.
+      send_error: Error that broke the connection during the sending, None without one.
+      is_message_complete: Whether the last message was received up to the end that its framing gives.
+      is_close_announced: Whether the last head announced that the connection is closed.
     """
 
     def __init__(self, sock: socket.socket):
@@ -221,9 +230,14 @@
         self.late_bytes = 0
         # Set by `shutdown`: the end of the stream is then not the remote end's.
         self.is_aborted = False
+        self.unsent = memoryview(b"")
+        self.is_sending = False
+        self.send_error: OSError | None = None
+        self.is_message_complete = False
+        self.is_close_announced = False
 
     def fill(self) -> bool:
-        """Receive bytes into the buffer.
+        """Receive bytes into the buffer; while none arrive, send the rest of the last request.
 
         Returns:
           Whether any bytes were received; False at the end of the stream.
@@ -234,6 +248,8 @@
         """
         while True:
             try:
+                if self.is_sending:
+                    self._send_rest(self.sock.gettimeout())
                 data = self._receive()
             except TimeoutError:
                 if self.on_read_timeout is not None and self.on_read_timeout():
@@ -243,6 +259,9 @@
                 raise EndOfStreamError(f"connection lost: {error}", is_reset=True) from error
             if self.is_aborted:
                 raise EndOfStreamError("connection shut down by this process")
+            if not data and self.send_error is not None:
+                message = f"connection lost: {self.send_error}"
+                raise EndOfStreamError(message, is_reset=True) from self.send_error
             self.buffer += data
             self.turn_bytes += len(data)
             if self.turn_bytes >= BYTES_PER_TURN:
@@ -308,7 +327,10 @@
             raise TooLargeError(f"the head exceeds {limit} bytes", "send fewer headers")
         data = bytes(self.buffer[:end])
         del self.buffer[: end + len(HEAD_END)]
-        return parse_head(data)
+        self.is_message_complete = False
+        head = parse_head(data)
+        self.is_close_announced = head.is_closing()
+        return head
 
     def read_body(self, framing: Framing, limit: int) -> bytes:
         """Read a complete body.
@@ -342,6 +364,7 @@
             yield from self._iter_until_close()
         else:
             yield from self._iter_counted(framing.length or 0)
+        self.is_message_complete = not framing.is_close_delimited
 
     def _iter_counted(self, count: int) -> Iterator[bytes]:
         while count:
@@ -402,54 +425,96 @@
             raise EndOfStreamError(f"connection lost: {error}", is_reset=True) from error
 
     def send_until_response(self, data: bytes, timeout: float) -> bool:
-        """Send bytes until all are sent or the remote end begins to respond.
+        """Send a request until all is sent or the remote end begins to respond.
+
+        The rest is sent while the response is read, as the remote end may wait for it; see
+        `stop_sending`. If the connection is lost, reading raises the error after the bytes that
+        have arrived.
 
         Args:
-          data: The bytes.
-          timeout: Longest wait for the remote end to read, in seconds.
+          data: The request.
+          timeout: Longest wait for the remote end to read, in seconds; then that of the socket.
 
         Returns:
           Whether all bytes were sent.
 
         Raises:
-          EndOfStreamError: When the connection is lost.
           TimeoutError: When the remote end neither reads nor responds in time.
         """
-        view = memoryview(data)
+        self.unsent = memoryview(data)
+        self.is_sending = True
+        self.is_message_complete = False
+        self.sock.settimeout(timeout)
+        self._send_rest(timeout)
+        return not self.unsent
+
+    def stop_sending(self) -> None:
+        """Send no more of the last request, as the remote end does not need it."""
+        self.is_sending = False
+
+    def _send_rest(self, timeout: float | None) -> None:
+        """Send more of the last request, until all is sent or bytes can be read.
+
+        Args:
+          timeout: Longest wait for the remote end to read or to send, in seconds; None for no limit.
+
+        Raises:
+          TimeoutError: When the remote end neither reads nor sends in time.
+        """
+        can_send = True
         self.sock.settimeout(0.0)
         try:
-            while view:
+            while can_send:
                 try:
-                    view = view[self.sock.send(view[:READ_BYTES]) :]
+                    sent_bytes = self.sock.send(self.unsent[:READ_BYTES])
                 except BlockingIOError:
-                    if not self._wait_until_writable(timeout):
-                        return False
+                    can_send = self._wait_until_writable(timeout)
+                    continue
+                self.unsent = self.unsent[sent_bytes:]
+                if not self.unsent:
+                    # An empty view would keep the whole request in memory.
+                    self.unsent = memoryview(b"")
+                    self.is_sending = False
+                can_send = self.is_sending and not self._is_readable()
         except TimeoutError:
             raise
         except OSError as error:
-            raise EndOfStreamError(f"connection lost: {error}", is_reset=True) from error
+            self.send_error = error
+            self.is_sending = False
         finally:
             self.sock.settimeout(timeout)
-        return True
 
-    def _wait_until_writable(self, timeout: float) -> bool:
+    def _wait_until_writable(self, timeout: float | None) -> bool:
         """Wait until bytes can be sent; return False when the remote end has sent some instead.
 
         Raises:
+          OSError: When the connection is lost.
           TimeoutError: When neither is so in time.
         """
         # Unlike `select`, `poll` takes any file descriptor.
         poll = gevent.select.poll()
         poll.register(self.sock, gevent.select.POLLIN | gevent.select.POLLOUT)
-        has_events = bool(poll.poll(timeout * 1000))
+        has_events = bool(poll.poll(None if timeout is None else timeout * 1000))
         # Bytes may also have arrived or been read after the timeout expired, during a pause of the
         # process.
-        if not http_client.is_open_and_idle(self.sock):
+        if self._is_readable():
             return False
         if not has_events and not self._is_writable():
             raise TimeoutError("the remote end accepts no more data")
         return True
 
+    def _is_readable(self) -> bool:
+        """Return whether bytes or the end of the stream can be read; the socket must not block.
+
+        Raises:
+          OSError: When the connection is lost; the next read would not report it again.
+        """
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        return True
+
     def _is_writable(self) -> bool:
         """Return whether bytes can be sent now, without letting other greenlets run."""
         poll = gevent.monkey.get_original("select", "poll")()
@@ -465,6 +530,19 @@
             not self.buffer and self.sock.fileno() >= 0 and http_client.is_open_and_idle(self.sock)
         )
 
+    def is_reusable(self) -> bool:
+        """Return whether the connection can carry another request.
+
+        The last one must have been sent, and its response received, completely. Otherwise the
+        remote end would take the next request for the rest of the last one.
+        """
+        return (
+            self.is_message_complete
+            and not self.unsent
+            and not self.is_close_announced
+            and self.is_open_and_idle()
+        )
+
     def shutdown(self) -> None:
         """Shut down both directions of the socket, which wakes the greenlet that reads it."""
         self.is_aborted = True
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -337,7 +337,6 @@
       is_sealed: Whether the response carries the endpoint's signature.
       weights: Version of the weights in use, None when the endpoint does not state it.
       idle_seconds: How long the endpoint keeps an idle connection, None when it does not state it.
-      is_closing: Whether the endpoint closes the connection after the response.
       is_leaving: Whether the endpoint announces that it leaves.
       pause_seconds: For how long the endpoint, which refuses the request, wants no others from this
         gateway; 0 when it does not say so.
@@ -354,7 +353,6 @@
     is_sealed: bool = False
     weights: int | None = None
     idle_seconds: float | None = None
-    is_closing: bool = False
     is_leaving: bool = False
     pause_seconds: float = 0.0
     malformed_fields: tuple[str, ...] = ()
--- a/bronzemux/platform/headers.py
+++ b/bronzemux/platform/headers.py
@@ -131,7 +131,6 @@
             is_sealed=head.get(RESPONSE_SEAL) is not None,
             weights=_number(head, RUNNING_WEIGHTS),
             idle_seconds=_idle_seconds(head),
-            is_closing=head.is_closing(),
             is_leaving=bool(is_leaving),
             pause_seconds=pause_seconds or 0.0,
             malformed_fields=tuple(name for name, value in notices if value is None),
