End a response of a service or an engine where its framing says

What callers saw: a service that sends two responses at once made the client return one body joined from both, and use the connection again; an engine of the product interface likewise got its connection reused. Half a response or other bytes behind a complete one made the call fail.

Cause: the response parser of geventhttpclient goes on with the next message on the same object, and whether a connection has unread bytes was checked on its socket only.

Change: `SingleResponse` drops what follows its message, and a connection with surplus bytes or an incomplete request is not used again.

--- a/bronzemux/http_client.py
+++ b/bronzemux/http_client.py
@@ -23,6 +23,7 @@
 MAX_RESPONSE_TIMEOUTS = 5
 # Far more than any event of a token stream.
 MAX_EVENT_BYTES = 1024 * 1024
+HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 HTTP_SERVICE_UNAVAILABLE = 503
 SECONDS_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
@@ -108,6 +109,36 @@
         self.sock.close()
 
 
+class SingleResponse(http_response.HTTPSocketResponse):
+    """Response that ends where its framing says.
+
+    Its base class would join a response that follows in the same bytes to this one.
+
+    Attributes:
+      has_surplus: Whether bytes followed the response; they are dropped.
+    """
+
+    has_surplus = False
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.get_code() >= HTTP_OK:
+            self.has_surplus = True
+            raise http_response.HTTPProtocolViolationError("bytes follow the response")
+        super()._on_message_begin()
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises:
+          http_response.HTTPParseError: When the response itself is malformed.
+        """
+        try:
+            super().feed(data)
+        except http_response.HTTPParseError:
+            if not self.has_surplus:
+                raise
+
+
 class Connection:
     """A connection that carries one exchange at a time and belongs to one greenlet.
 
@@ -124,6 +155,7 @@
         self.timeouts = timeouts
         self.address = f"{host}:{port}"
         self.response = None
+        self.is_request_sent = False
         try:
             self.socket = socket.create_connection((host, port), timeouts.connect)
         except OSError as error:
@@ -142,9 +174,11 @@
           errors.EndpointLostError: When the connection broke; the peer may have received a part.
           errors.EndpointSilentError: When the peer stopped reading.
         """
+        self.is_request_sent = False
         self._translate_errors(
             self.socket.sendall, encode_request(method, path, self.address, headers, body)
         )
+        self.is_request_sent = True
 
     def wait_readable(self, seconds: float) -> bool:
         """Wait for data or the end of the connection without reading any of it.
@@ -177,9 +211,7 @@
           errors.EndpointSilentError: When no data arrived within the progress timeout.
           errors.EndpointProtocolError: When the response is not HTTP.
         """
-        self.response = self._translate_errors(
-            http_response.HTTPSocketResponse, self.reader, READ_BYTES, method
-        )
+        self.response = self._translate_errors(SingleResponse, self.reader, READ_BYTES, method)
         return self.response
 
     def read(self) -> bytes:
@@ -204,7 +236,13 @@
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another exchange."""
         response = self.response
-        return bool(response and response.message_complete and response.should_keep_alive())
+        return (
+            self.is_request_sent
+            and response is not None
+            and response.message_complete
+            and not response.has_surplus
+            and response.should_keep_alive()
+        )
 
     def close(self) -> None:
         """Close the connection."""
