Read changed entries before taking a software version for the only one

Cause: a router that knows one version asks the store whether another one may have begun a stream. It asked for the origin and the list of versions, which other routers write after they have begun to use a version. While these writes are on their way, the answer is no. The class: a question about the past put to a record that is written after the fact.

Change: the router first reads the endpoints' entries that have changed (`feed.CatchUp`). An entry is written before any router can use it, so a read that begins after the caller's return has it. Callers that return together share one read. Without an answer in 0.4 s the caller gets 503, as before.

The step with idle connections to an endpoint now makes an exchange on each of them, as only such a connection can be pooled since the change of early responses; it also checks that all are pooled.

--- a/bronzemux/gateway/continuation.py
+++ b/bronzemux/gateway/continuation.py
@@ -28,6 +28,8 @@
 # Longer than the interval of the task that reads the history.
 MAX_HISTORY_WAIT_SECONDS = 0.3
 HISTORY_POLL_SECONDS = 0.02
+# Longest wait for the entries of endpoints.
+READ_ENTRIES_SECONDS = 0.4
 # Retry-After of a refusal when the origin cannot be read for the moment.
 RETRY_AFTER_SECONDS = 0.5
 # Longest wait for the process that is asked when it started, which it answers within milliseconds:
@@ -46,6 +48,13 @@
         """Return what is stored about the versions of a service, None when nothing is."""
 
 
+class EntryReader(typing.Protocol):
+    """Reads the entries of endpoints that have changed."""
+
+    def apply_until(self, at: float) -> None:
+        """Apply all changes that were made before a monotonic time; see `feed.CatchUp`."""
+
+
 class Continuation:
     """Knows the origins of streams, and decides by them.
 
@@ -58,6 +67,7 @@
 
     Attributes:
       reader: Reads what other routers stored; set when the gateway is assembled.
+      entries: Brings the entries of endpoints up to date; set when the gateway is assembled.
       control: Asks endpoints for their status reports; set when the gateway is assembled.
     """
 
@@ -75,6 +85,7 @@
         self.history = history
         self.meters = metrics
         self.reader: OriginReader | None = None
+        self.entries: EntryReader | None = None
         self.control: orders.EndpointControl | None = None
 
     # Beginning
@@ -161,7 +172,8 @@
         """Return the origin if one version began all streams, None when that is not so.
 
         Another router may already have begun streams at a version that this one has not heard of,
-        so the store has to confirm it.
+        so the store has to confirm it: by the entries of endpoints, which precede all streams, and
+        by the versions that have left.
 
         Raises:
           errors.PlatformError: When the store does not answer in time.
@@ -169,11 +181,26 @@
         only = self.history.only_version(job.service)
         if only is None:
             return None
+        self._update_entries(job)
+        if self.history.only_version(job.service) != only:
+            return None
         stored = self.reader.read_versions(job.service)
         if stored is not None and stored.present | stored.left != {only}:
             return None
         return stream_origins.StreamOrigin(job.service, only)
 
+    def _update_entries(self, job: "jobs.Job") -> None:
+        """Apply the entries of endpoints that were written before a caller returned.
+
+        Raises:
+          errors.PlatformError: When the store does not answer in time.
+        """
+        expired = errors.PlatformUnavailableError(
+            f"the store did not answer within {READ_ENTRIES_SECONDS:g} s", "retry later"
+        )
+        with gevent.Timeout(READ_ENTRIES_SECONDS, expired):
+            self.entries.apply_until(job.arrived_at)
+
     def _refuse(self, job: "jobs.Job", message: str, retry_after: float = 0.0) -> typing.NoReturn:
         self.meters.resumptions.labels("refused").inc()
         raise failures.RefusedError(
--- a/bronzemux/gateway/feed.py
+++ b/bronzemux/gateway/feed.py
@@ -1,9 +1,12 @@
 """Task that keeps a replica of one table of the platform's store up to date."""
 
 import functools
+import math
 import random
 from collections.abc import Callable
 
+import gevent.lock
+
 from bronzemux import clock as clocks
 from bronzemux import errors, logs, records, store_version, supervisor
 from bronzemux.gateway import rows
@@ -26,6 +29,49 @@
     is_up: bool | None
 
 
+class CatchUp:
+    """Brings a replica up to date for a decision that must not wait for its feed.
+
+    The feed may be late, or other routers that pass its rows on, without this router noticing it.
+
+    Args:
+      name: Name of the table.
+      source: Source of the rows.
+      clock: Source of time.
+      get_version: Returns the version of the local replica.
+      on_batch: Called with the name of the table and each batch.
+
+    Attributes:
+      read_at: Monotonic seconds at which the last successful read began.
+    """
+
+    def __init__(self, name: str, source: rows.RowSource, clock, get_version, on_batch):
+        self.table = name
+        self.source = source
+        self.clock: clocks.Clock = clock
+        self.get_version = get_version
+        self.on_batch = on_batch
+        self.read_at = -math.inf
+        self.lock = gevent.lock.BoundedSemaphore()
+
+    def apply_until(self, at: float) -> None:
+        """Apply all changes that were made before a time; calls at once share a read.
+
+        Args:
+          at: Monotonic seconds, not in the future.
+
+        Raises:
+          errors.PlatformError: When the store does not respond, or has lost the changes.
+        """
+        with self.lock:
+            if self.read_at >= at:
+                return
+            began_at = self.clock.monotonic()
+            batch = self.source.changes_so_far(self.table, self.get_version())
+            self.on_batch(self.table, batch)
+            self.read_at = began_at
+
+
 class Feed(supervisor.Task):
     """Read a table once, then follow its changes until the task is killed.
 
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -253,6 +253,7 @@
         )
         components.continuation.reader = self.origin_store
         components.continuation.control = platform.endpoint_control
+        components.continuation.entries = self._endpoint_catch_up()
         history.contact_at = self._contact_at
         self.cluster_state.on_change.append(history.observe)
         self.weights_rollout = weights.WeightsRollout(
@@ -330,11 +331,22 @@
             return ""
         return sorted(store.cache_store for store in stores)[watcher_index % len(stores)]
 
-    def _feed(self, name: str, source: rows.RowSource) -> feed.Feed:
+    def _apply_store_rows(self, name: str, batch: rows.Batch) -> None:
+        self.cluster_state.apply_rows(name, batch, "store")
+
+    def _endpoint_catch_up(self) -> feed.CatchUp:
+        name = self.platform.documents.endpoint_table
         replica = self.cluster_state.replicas[name]
+        return feed.CatchUp(
+            name,
+            self.platform.feeds[name],
+            self.clock,
+            lambda: replica.version,
+            self._apply_store_rows,
+        )
 
-        def on_batch(table_name: str, batch: rows.Batch) -> None:
-            self.cluster_state.apply_rows(table_name, batch, "store")
+    def _feed(self, name: str, source: rows.RowSource) -> feed.Feed:
+        replica = self.cluster_state.replicas[name]
 
         def on_contact(contact: feed.StoreContact) -> None:
             self.cluster_state.record_store_contact(contact.table, contact.is_up)
@@ -345,7 +357,7 @@
             source,
             self.clock,
             lambda: replica.version,
-            on_batch,
+            self._apply_store_rows,
             on_contact,
             following.needed.is_set,
             following.needed.wait,
--- a/bronzemux/gateway/rows.py
+++ b/bronzemux/gateway/rows.py
@@ -73,6 +73,15 @@
         """
         raise NotImplementedError
 
+    def changes_so_far(self, name: str, after: int) -> Batch:
+        """Return the rows that have changed after a version, without waiting for any.
+
+        Raises:
+          HistoryLostError: When the changes are no longer available.
+          errors.PlatformUnavailableError: When the source does not respond.
+        """
+        raise NotImplementedError
+
 
 class Replica:
     """Local replica of one table.
--- a/bronzemux/platform/store.py
+++ b/bronzemux/platform/store.py
@@ -109,10 +109,21 @@
           rows.HistoryLostError: When the store no longer has the changes after the version, or was
             restored from an older copy.
         """
+        return self._changes(self.feed_client, name, after, self.wait_seconds)
+
+    def changes_so_far(self, name: str, after: int) -> rows.Batch:
+        """Return the rows that have changed after a version, without waiting for any.
+
+        Raises:
+          rows.HistoryLostError: As `changes` does.
+        """
+        return self._changes(self.read_client, name, after, 0.0)
+
+    def _changes(self, client, name: str, after: int, wait_seconds: float) -> rows.Batch:
         number = store_version.number_of(after)
-        query = {"table": name, "after": number, "wait_ms": int(self.wait_seconds * 1000)}
+        query = {"table": name, "after": number, "wait_ms": int(wait_seconds * 1000)}
         path = "/-/rows-feed?" + urllib.parse.urlencode(query)
-        response = _call(self.feed_client, "GET", path)
+        response = _call(client, "GET", path)
         era = self.era.read(response)
         # A restored store gives the same numbers to other rows.
         if response.status == HISTORY_LOST_STATUS or era != store_version.era_of(after):
--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -183,6 +183,34 @@
       | 1.5     | their first attempt |
       | 4       | no attempt          |
 
+  # Guards against a router that goes on with a stream at its own version, as nobody has written down
+  # yet that another version, which has just joined, began it.
+  Scenario Outline: A router out of step during a release does not guess the version of a stream
+    Given a platform on which streams last at most 1 second
+    And the endpoints "lm-1 lm-2" of software "v1"
+    And two gateways whose links can be cut
+    And the endpoints have served for 8 seconds
+    When the second gateway is cut off from <links>
+    And writes of the gateways to the store take <write> seconds
+    And <arrival> of "v2", and the streams of 6 callers from "<name>" break at once
+    And the callers return at another router at once and name <attempt>
+    Then each caller is refused with 503 within 1 second, or goes on at its version
+
+    Examples:
+      | links                 | write | arrival                          | name | attempt             |
+      | nothing               | 0     | "lm-3 lm-4" join                 | lm-3 | their first attempt |
+      | nothing               | 0.4   | "lm-3 lm-4" join                 | lm-3 | no attempt          |
+      | the other router      | 0.4   | "lm-3 lm-4" join                 | lm-3 | their first attempt |
+      | the other router      | 0.4   | "lm-3 lm-4" join                 | lm-3 | no attempt          |
+      | the store             | 0     | "lm-3 lm-4" join                 | lm-3 | their first attempt |
+      | the responses of both | 0     | "lm-3 lm-4" join                 | lm-3 | their first attempt |
+      | both, as it is paused | 0     | "lm-3 lm-4" join                 | lm-3 | no attempt          |
+      | the store's feed      | 0     | "lm-3 lm-4" join                 | lm-3 | their first attempt |
+      | the store's feed      | 0.4   | "lm-3 lm-4" join                 | lm-3 | their first attempt |
+      | the store's feed      | 0.4   | "lm-3 lm-4" join                 | lm-3 | no attempt          |
+      | the store's feed      | 0.4   | "lm-1" comes back                | lm-1 | no attempt          |
+      | the store's feed      | 0.4   | "lm-3" joins at "lm-1"'s address | lm-3 | no attempt          |
+
   # Guards against routers that see only the new version after a power loss and take it for the one
   # that began a stream.
   Scenario Outline: A stream does not go on at the version that is left after a power loss
--- a/features/steps/gateway_platform_steps.py
+++ b/features/steps/gateway_platform_steps.py
@@ -11,7 +11,7 @@
 from gevent import monkey
 
 from bronzemux import clock, errors, lease, logs, store_version, table
-from bronzemux.gateway import admission, channels
+from bronzemux.gateway import admission, channels, http1
 from bronzemux.platform import boot, fields, standin_store, store
 from features import gateway_support
 
@@ -286,7 +286,11 @@
     address = context.site.workers[name].address
     opened = [context.pool.open(address) for _ in range(channels.MAX_IDLE_CHANNELS)]
     for channel in opened:
+        channel.send_until_response(b"GET /-/report HTTP/1.1\r\nHost: x\r\n\r\n", 1.0)
+        head = channel.read_head()
+        channel.read_body(http1.response_framing(head, "GET"), 1 << 20)
         context.pool.release(name, channel, None)
+    assert len(context.pool.idle[name]) == len(opened)
     context.incarnation = name
 
 
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -275,6 +275,98 @@
     assert not set(names.split()) & set(second.endpoints.states)
 
 
+@when("the second gateway is cut off from {links}")
+def step_cut_off(context, links):
+    """Cut links of the second gateway, which goes on serving callers."""
+    proxies = {
+        "nothing": (),
+        "the other router": context.peer_proxies,
+        "the store": (context.store_proxy,),
+        "the responses of both": (*context.peer_proxies, context.store_proxy),
+        "both, as it is paused": (*context.peer_proxies, context.store_proxy),
+        "the store's feed": context.peer_proxies,
+    }[links]
+    for proxy in proxies:
+        proxy.is_dropping_to_client = True
+        proxy.is_dropping_to_target = links != "the responses of both"
+    if links == "the store's feed":
+        # The long polls in progress never return, while the store answers all other calls.
+        platform = context.site.gateways[1].platform
+        clients = [platform.table.client]
+        clients += [source.read_client for source in platform.feeds.values()]
+        for client in clients:
+            while client.idle_connections:
+                client.idle_connections.pop().close()
+        context.store_proxy.blackhole_connections()
+
+
+@when("writes of the gateways to the store take {seconds:g} seconds")
+def step_slow_writes(context, seconds):
+    for found in context.site.gateways:
+        table = found.platform.table
+
+        def transact(writes, write=table.transact):
+            gevent.sleep(seconds)
+            return write(writes)
+
+        table.transact = transact
+
+
+def begin_at_once(context, count: int, name: str) -> None:
+    """Break streams of an endpoint through the first router as soon as that knows it."""
+    first = context.site.gateways[0]
+    expected = {w.identity: w.started_at_ms for w in context.site.workers.values()}
+
+    def is_known() -> bool:
+        states = first.endpoints.states.values()
+        return {s.endpoint.id: s.endpoint.started_at_ms for s in states} == expected
+
+    gateway_support.wait_for(is_known)
+    context.site.workers[name].event_seconds = 0.01
+    gevent.joinall(begin(context, count, "/classify/", name, 2), raise_error=True)
+
+
+@when(
+    '"{names}" join of "{software}", and the streams of {count:d} callers from "{name}" break at once'
+)
+def step_join(context, names, software, count, name):
+    register(context, names, software)
+    begin_at_once(context, count, name)
+
+
+@when(
+    '"{old}" comes back of "{software}", and the streams of {count:d} callers from "{name}" break '
+    "at once"
+)
+def step_come_back(context, old, software, count, name):
+    worker = context.site.workers[old]
+    worker.restart(software)
+    context.site.store.put("servers", old, worker.entry())
+    begin_at_once(context, count, name)
+
+
+@when(
+    '"{new}" joins at "{old}"\'s address of "{software}", and the streams of {count:d} callers from '
+    '"{name}" break at once'
+)
+def step_join_at_address(context, new, old, software, count, name):
+    worker = context.site.workers.pop(old)
+    worker.identity = new
+    worker.restart(software)
+    context.site.workers[new] = worker
+    context.site.store.remove("servers", old)
+    context.site.store.put("servers", new, worker.entry())
+    begin_at_once(context, count, name)
+
+
+@when("the callers return at {place} router at once and name {name}")
+def step_return_at_once(context, place, name):
+    if name == "no attempt":
+        run_all(StreamCaller.take_up, context.callers, PLACES[place], Resumes=None)
+    else:
+        run_all(StreamCaller.take_up, context.callers, PLACES[place])
+
+
 @given('the endpoint "{name}" crashes during a stream')
 def step_crash(context, name):
     context.site.workers[name].fault = standin_worker.Fault.CRASH_STREAM
--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -95,6 +95,9 @@
             site.clock, self.state, self.origins, self.history, meters.GatewayMetrics()
         )
         self.continuation.reader = self.task
+        self.continuation.entries = types.SimpleNamespace(
+            apply_until=lambda at: self.read_entries()
+        )
         self.read_entries()
 
     def read_entries(self) -> None:
