Limit the memory of all buffered responses of endpoints together

What callers saw (another operator's report; reproduced): endpoints that send bodies without end to many requests at once make the process exceed its memory, so that all its requests end with it.

Cause: a limit of 1/64 of the memory for each response, and none for all. The class: a limit on one of many that share a resource.

Change: `channels.ResponseBudget` lets buffered responses take an eighth of the memory together; what exceeds it is cut off like a response that is too long. 64 kB of each are free, so that usual responses are read also when the budget is spent.

--- a/bronzemux/gateway/channels.py
+++ b/bronzemux/gateway/channels.py
@@ -16,10 +16,55 @@
 # Subtracted from the idle timeout that an endpoint announces, so that a connection is not reused
 # while the endpoint closes it. Announced timeouts are whole seconds and may be up to 1 s too long.
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
+# Fraction of a VM's memory for the responses that are buffered as a whole, and the limit where its
+# memory is not known. Copies are made while they are received and sent.
+MAX_RESPONSES_MEMORY_FRACTION = 1 / 8
+MAX_RESPONSES_BYTES = 128 * 1024 * 1024
+# A response of usual length is read also when the budget is spent.
+FREE_RESPONSE_BYTES = 64 * 1024
 # Limit for each endpoint, whose slots are shared by a few routers.
 MAX_IDLE_CHANNELS = 16
 
 
+class ResponseBudget:
+    """Memory for responses that are buffered as a whole, shared by all requests.
+
+    Args:
+      memory_bytes: Memory of the VM, 0 when it is not known.
+
+    Attributes:
+      limit_bytes: Most bytes that responses may take together.
+      taken_bytes: Bytes that they take now.
+    """
+
+    def __init__(self, memory_bytes: int):
+        fraction = int(memory_bytes * MAX_RESPONSES_MEMORY_FRACTION)
+        self.limit_bytes = fraction or MAX_RESPONSES_BYTES
+        self.taken_bytes = 0
+
+    def resize(self, before: int, after: int) -> int:
+        """Record that a response has grown.
+
+        Args:
+          before: Result of the previous call for this response, 0 for the first.
+          after: Bytes of the response, 0 when it is no longer in memory.
+
+        Returns:
+          Bytes that it takes of the budget.
+
+        Raises:
+          http1.TooLargeError: When the budget is spent.
+        """
+        counted = max(0, after - FREE_RESPONSE_BYTES)
+        if counted > before and self.taken_bytes + counted - before > self.limit_bytes:
+            raise http1.TooLargeError(
+                f"the responses in memory exceed {self.limit_bytes} bytes",
+                "check the endpoints, or use VMs with more memory",
+            )
+        self.taken_bytes += counted - before
+        return counted
+
+
 @dataclasses.dataclass
 class IdleChannel:
     """An idle connection.
@@ -41,10 +86,15 @@
 
     Args:
       clock: Source of time.
+      memory_bytes: Memory of the VM, 0 when it is not known.
+
+    Attributes:
+      responses: Memory for the responses that are read from the connections.
     """
 
-    def __init__(self, clock: clocks.Clock):
+    def __init__(self, clock: clocks.Clock, memory_bytes: int = 0):
         self.clock = clock
+        self.responses = ResponseBudget(memory_bytes)
         self.idle: dict[str, list[IdleChannel]] = {}
         self.opened_count = 0
 
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -83,6 +83,8 @@
         self.is_suspect = False
         self.is_reused = False
         self.salt = choice.salt
+        # Bytes of the response that count against the budget of all.
+        self.counted_bytes = 0
 
     def release_backlog(self) -> None:
         """Subtract the prompt from the endpoint's prefill backlog."""
@@ -121,6 +123,7 @@
             return failures.PossiblyExecuted("garbled")
         finally:
             self.state.attempts.discard(self)
+            self.components.pool.responses.resize(self.counted_bytes, 0)
             if not self.is_pooled:
                 self.channel.close()
 
@@ -219,14 +222,14 @@
         if response.is_not_executed:
             return self._handle_rejection(response, framing)
         if not response.is_success:
-            body = self.channel.read_body(framing, self._max_response_bytes())
+            body = self._read_body(framing)
             self._return_to_pool(response)
             return self._handle_error(response, body)
         if not response.is_sealed or response.request_id is None:
             return failures.PossiblyExecuted("unsealed")
         if job.route.kind is model.RouteKind.STREAM:
             return self._relay_stream(response, framing)
-        body = self.channel.read_body(framing, self._max_response_bytes())
+        body = self._read_body(framing)
         self._return_to_pool(response)
         self.state.record_latency(self.clock.monotonic() - self.started_at)
         self._send_response(response, body)
@@ -258,6 +261,13 @@
             self.components.notices.record_head(self.state, interim)
         raise http1.FramingError("too many interim responses", "check the endpoint")
 
+    def _read_body(self, framing: http1.Framing) -> bytes:
+        def on_growth(count: int) -> None:
+            budget = self.components.pool.responses
+            self.counted_bytes = budget.resize(self.counted_bytes, count)
+
+        return self.channel.read_body(framing, self._max_response_bytes(), on_growth)
+
     def _max_response_bytes(self) -> int:
         memory_bytes = self.components.settings.memory_bytes
         if not memory_bytes:
@@ -322,7 +332,7 @@
         """Return the result for a response that states that the request was not executed."""
         if response.weights is not None and self.job.request.prompt is not None:
             self.state.record_weights(self.job.request.prompt.model, response.weights)
-        self.channel.read_body(framing, self._max_response_bytes())
+        self._read_body(framing)
         self._return_to_pool(response)
         if self.choice.weights is not None and not self.choice.is_continuation:
             self._drop_expected_prefixes()
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -219,7 +219,7 @@
             clock,
             platform.protocol,
             self.cluster_state,
-            channels.ChannelPool(clock),
+            channels.ChannelPool(clock, config.memory_bytes),
             probes,
             budget.ServiceRetryBudget(config.bounds),
             wait_queue,
--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -332,12 +332,15 @@
         self.is_close_announced = head.is_closing()
         return head
 
-    def read_body(self, framing: Framing, limit: int) -> bytes:
+    def read_body(
+        self, framing: Framing, limit: int, on_growth: Callable[[int], None] = lambda count: None
+    ) -> bytes:
         """Read a complete body.
 
         Args:
           framing: How the length of the body is determined.
           limit: Longest body in bytes.
+          on_growth: Called with the bytes read so far; it may raise an error to end the reading.
 
         Raises:
           TooLargeError: When the body is longer than `limit` bytes.
@@ -347,6 +350,7 @@
         body = bytearray()
         for data in self.iter_body(framing):
             body += data
+            on_growth(len(body))
             if len(body) > limit:
                 raise TooLargeError(f"the body exceeds {limit} bytes", "send a shorter body")
         return bytes(body)
