Bound the bytes and the time of responses to a router's own calls

Cause: the limits stood in one of four users of `http_client.Connection`.

Change: `Connection.exchange` is the only way to a complete response and takes a limit in bytes; the whole time is limited too. The head of a streamed response and the text of an error are limited.

--- a/bronzemux/engine_http.py
+++ b/bronzemux/engine_http.py
@@ -25,6 +25,8 @@
 HTTP_NOT_FOUND = 404
 HTTP_SERVER_ERROR = 500
 MAX_ERROR_BYTES = 500
+# Far more than the cache events that an engine keeps.
+MAX_STATE_BYTES = 8 * 1024 * 1024
 MAX_KEY_DIGITS = 32
 MAX_IDLE_CONNECTIONS = 32
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (.*)\n\n\Z", re.DOTALL)
@@ -99,11 +101,7 @@
         connection = http_client.Connection(self.host, self.port, self.timeouts)
         try:
             check()
-            connection.send(method, path, {}, body)
-            raw = connection.receive(method)
-            response = http_client.Response(
-                raw.status_code, dict(raw.items()), connection.read_all()
-            )
+            response = connection.exchange(method, path, {}, body, MAX_STATE_BYTES)
         finally:
             connection.close()
         if response.status != HTTP_OK:
@@ -114,6 +112,7 @@
         connection = self._connection(job.may_reuse_connection)
         try:
             connection.send(method, path, headers, body)
+            connection.reader.remaining_bytes = http_client.MAX_HEAD_BYTES
             response = connection.receive(method)
             if response.status_code != HTTP_OK:
                 text = connection.read_all()
@@ -123,6 +122,8 @@
                     f"the response of {self.name} belongs to another request",
                     "the response is dropped",
                 )
+            # Each event of the stream is limited by itself.
+            connection.reader.remaining_bytes = None
             incarnation = response.get(HEADER_INCARNATION, "")
             software = response.get(HEADER_SOFTWARE, "")
             return HttpResponseStream(self, connection, incarnation, offset, software)
--- a/bronzemux/http_client.py
+++ b/bronzemux/http_client.py
@@ -19,6 +19,10 @@
 MAX_IDLE_CONNECTIONS = 8
 # Far more than the largest page, object or configuration of a platform service.
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Far more than the state of an endpoint, or its response to an order.
+MAX_CONTROL_BYTES = 1024 * 1024
+# Far more than the head of a response and the text of an error.
+MAX_HEAD_BYTES = 256 * 1024
 # A response that takes longer in all, as a multiple of the progress timeout, does not end.
 MAX_RESPONSE_TIMEOUTS = 5
 # Far more than any event of a token stream.
@@ -233,6 +237,40 @@
         """Return the rest of the body."""
         return b"".join(iter(self.read, b""))
 
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        max_bytes: int = MAX_CONTROL_BYTES,
+    ) -> Response:
+        """Send a request and return its complete response.
+
+        Args:
+          method: HTTP method.
+          path: Path with query.
+          headers: Header fields besides Host and Content-Length.
+          body: Body of the request.
+          max_bytes: Longest response, with its head.
+
+        Raises:
+          errors.EndpointLostError: When the connection broke.
+          errors.EndpointSilentError: When no data arrived within the progress timeout, or the
+            response did not end within `MAX_RESPONSE_TIMEOUTS` of them.
+          errors.EndpointProtocolError: When the response is not HTTP, or too long.
+        """
+        self.reader.remaining_bytes = max_bytes
+        seconds = MAX_RESPONSE_TIMEOUTS * self.timeouts.progress
+        expired = errors.EndpointSilentError(
+            f"{self.address} did not complete its response within {seconds:g} s",
+            "query the state of the request before repeating it",
+        )
+        with gevent.Timeout(seconds, expired):
+            self.send(method, path, headers, body)
+            raw = self.receive(method)
+            return Response(raw.status_code, dict(raw.items()), self.read_all())
+
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another exchange."""
         response = self.response
@@ -323,16 +361,7 @@
             raise
 
     def _exchange(self, connection, method, path, body, is_write) -> Response:
-        connection.reader.remaining_bytes = MAX_RESPONSE_BYTES
-        seconds = MAX_RESPONSE_TIMEOUTS * self.settings.timeouts.progress
-        expired = errors.EndpointSilentError(
-            f"{connection.address} did not complete its response within {seconds:g} s",
-            "query the state of the request before repeating it",
-        )
-        with gevent.Timeout(seconds, expired):
-            connection.send(method, path, {}, body)
-            raw = connection.receive(method)
-            response = Response(raw.status_code, dict(raw.items()), connection.read_all())
+        response = connection.exchange(method, path, {}, body, MAX_RESPONSE_BYTES)
         if connection.is_reusable() and len(self.idle_connections) < MAX_IDLE_CONNECTIONS:
             self.idle_connections.append(connection)
         else:
--- a/bronzemux/platform/engines.py
+++ b/bronzemux/platform/engines.py
@@ -11,6 +11,8 @@
 # Endpoints normally respond to orders and report calls within milliseconds. A response that takes
 # longer than this counts as lost.
 RESPONSE_TIMEOUT_SECONDS = 1.0
+# Far more than the events that a cache store keeps.
+MAX_EVENTS_BYTES = 2 * 1024 * 1024
 OUTCOME_BY_STATUS = {
     200: orders.Outcome.HOLDS,
     202: orders.Outcome.ACCEPTED,
@@ -75,7 +77,8 @@
         sent = {"Wait-Ms": str(int(seconds * 1000))}
         path = f"/-/kv-events?since={since}"
         try:
-            response = _call(address, "GET", path, sent, b"", seconds + RESPONSE_TIMEOUT_SECONDS)
+            timeout = seconds + RESPONSE_TIMEOUT_SECONDS
+            response = _call(address, "GET", path, sent, b"", timeout, MAX_EVENTS_BYTES)
             document = fields.load(response.body)
             epoch = fields.integer(document, "boot_epoch")
             return cache_store_watcher.CacheStoreState(epoch, fields.integer(document, "next"))
@@ -91,14 +94,20 @@
     return [value for name, value in response.headers.items() if name.lower() == headers.LEAVING]
 
 
-def _call(address: str, method: str, path: str, sent, body: bytes, progress_seconds: float):
+def _call(
+    address: str,
+    method: str,
+    path: str,
+    sent,
+    body: bytes,
+    progress_seconds: float,
+    max_bytes: int = http_client.MAX_CONTROL_BYTES,
+) -> http_client.Response:
     host, port = fields.split_address(address)
     timeouts = http_client.Timeouts(connect=CONNECT_TIMEOUT_SECONDS, progress=progress_seconds)
     connection = http_client.Connection(host, port, timeouts)
     try:
-        connection.send(method, path, {**sent, "Connection": "close"}, body)
-        response = connection.receive(method)
-        fields_read = dict(response.items())
-        return http_client.Response(response.status_code, fields_read, connection.read_all())
+        fields_sent = {**sent, "Connection": "close"}
+        return connection.exchange(method, path, fields_sent, body, max_bytes)
     finally:
         connection.close()
--- a/features/endless_responses.feature
+++ b/features/endless_responses.feature
@@ -46,13 +46,41 @@
     Then the stream is complete within 9 seconds
     And it was served by one endpoint
 
-  Scenario: Load pattern "endless answers": 32 of them at once take bounded memory and do not block others
+  # Guards against a process that exceeds its memory, as each of many responses stays below its limit.
+  Scenario Outline: Load pattern "endless answers": <count> of them at once take bounded memory and do not block others
     Given the VM of the gateway has 136 MB of memory
-    And endpoint "app-1" has the fault "endless-body" with 0 seconds between the pieces
-    When 32 requests are sent to the endpoints at once
+    And endpoint "app-1" has the fault "<fault>" with <pause> seconds between the pieces
+    And endpoint "app-2" has the fault "<fault>" with <pause> seconds between the pieces
+    When <count> requests are sent to the endpoints at once
     Then the memory of the process grows by at most 100 MB
     And a request to another service is answered within 2 seconds meanwhile
 
+    Examples:
+      | count | fault          | pause |
+      | 32    | endless-body   | 0     |
+      | 150   | endless-body   | 0     |
+      | 150   | endless-chunks | 0     |
+      | 150   | endless-head   | 0     |
+      | 150   | endless-body   | 0.02  |
+
+  # Guards against a process that exceeds its memory by the response to a call of its own.
+  Scenario Outline: An endpoint that responds to a <call> without end is taken for silent
+    Given an endpoint that sends <what> without end
+    When its <call> is sent
+    Then the call fails within 6 seconds, after at most 16 MB
+
+    Examples:
+      | call   | what              |
+      | report | a body            |
+      | report | chunks            |
+      | report | a head            |
+      | order  | a body            |
+      | order  | a head            |
+      | events | a body            |
+      | state  | a head            |
+      | job    | a head            |
+      | job    | the body of an error |
+
   Scenario: A store that sends bytes without end counts as unavailable
     Given a platform service that sends a body without end
     When it is called
--- a/features/steps/endless_responses_steps.py
+++ b/features/steps/endless_responses_steps.py
@@ -3,19 +3,22 @@
 import dataclasses
 import resource
 import time
+import types
 
 import gevent
 import gevent.server
 from behave import given, then, when
 
-from bronzemux import errors, http_client
-from bronzemux.gateway import http1
-from bronzemux.platform import standin_worker
+from bronzemux import engine, engine_http, errors, http_client
+from bronzemux.gateway import channels, http1, orders
+from bronzemux.platform import engines, standin_worker
 from features import gateway_support
 
 CALL_SECONDS = 30.0
 KILOBYTE = 1024
 MEGABYTE = 1_000_000
+# A stand-in stops here, so that a client without a limit does not exhaust the machine.
+MAX_SENT_BYTES = 64 * MEGABYTE
 
 
 def set_fault(worker, fault: str, pause: float) -> None:
@@ -108,6 +111,7 @@
 def step_memory(context, megabytes):
     components = context.site.gateways[0].components
     config = dataclasses.replace(components.settings, memory_bytes=megabytes * MEGABYTE)
+    components.pool.responses = channels.ResponseBudget(config.memory_bytes)
     context.site.gateways[0].forwarder.components = dataclasses.replace(components, settings=config)
 
 
@@ -209,3 +213,68 @@
 def step_refused(context, status, seconds):
     assert context.reply.status == status, context.reply
     assert context.seconds <= seconds, context.seconds
+
+
+@given("an endpoint that sends {what} without end")
+def step_endless_endpoint(context, what):
+    context.sent_bytes = 0
+    context.pieces = {
+        "a body": (b"HTTP/1.1 200 OK\r\n\r\n", bytes(http1.READ_BYTES)),
+        "chunks": (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            http1.encode_chunk(bytes(http1.READ_BYTES)),
+        ),
+        "a head": (b"HTTP/1.1 200 OK\r\n", b"Filler: filler\r\n" * 1000),
+        "the body of an error": (b"HTTP/1.1 500 X\r\n\r\n", bytes(http1.READ_BYTES)),
+    }[what]
+
+    def serve(sock, address):
+        sock.recv(http1.READ_BYTES)
+        start, piece = context.pieces
+        try:
+            sock.sendall(start)
+            while context.sent_bytes < MAX_SENT_BYTES:
+                sock.sendall(piece)
+                context.sent_bytes += len(piece)
+        except OSError:
+            return
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    context.cleanups.append(lambda: server.stop(timeout=0))
+    context.service_port = server.server_port
+
+
+def call_endpoint(port: int, call: str):
+    """Make a call of a router to an endpoint; return its result, None when it failed."""
+    address = f"127.0.0.1:{port}"
+    entry = types.SimpleNamespace(id="e1", address=address)
+    if call == "report":
+        return engines.EngineClient().report(entry)
+    if call == "order":
+        order = orders.WeightsOrder(entry, "m1", 2, orders.SwitchMode.QUEUE, "vm-1", 1, None)
+        outcome = engines.EngineClient().order_weights(order)
+        return None if outcome is orders.Outcome.UNKNOWN else outcome
+    if call == "events":
+        return engines.HttpCacheStoreClient().await_changes(address, 0, 0.0)
+    client = engine_http.HttpEngine("e1", "127.0.0.1", port, http_client.Timeouts(1.0, 1.0))
+    try:
+        if call == "state":
+            return client.state(0)
+        return client.start(engine.Job("job", "/", b"x", b"", "1", 0))
+    except errors.EndpointError:
+        return None
+
+
+@when("its {call} is sent")
+def step_call_endpoint(context, call):
+    started_at = time.monotonic()
+    context.result = call_endpoint(context.service_port, call)
+    context.seconds = time.monotonic() - started_at
+
+
+@then("the call fails within {seconds:g} seconds, after at most {megabytes:d} MB")
+def step_call_fails(context, seconds, megabytes):
+    assert context.result is None, context.result
+    assert context.seconds <= seconds, context.seconds
+    assert context.sent_bytes <= megabytes * MEGABYTE, context.sent_bytes
