Add a release beside a gateway out of step to the soak

The fault releases software while a gateway is cut off, slow or paused, and resets connections of endpoints meanwhile.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,6 +15,7 @@
       | faults                          |
       | release                         |
       | release and reinstall and power |
+      | out of step                     |
 
   Scenario: Seeds that once violated an invariant violate none any more
     Then no seed of features/soak_seeds.txt violates an invariant
--- a/features/soak.py
+++ b/features/soak.py
@@ -797,6 +797,20 @@
         worker, software = self._draw_release()
         self._replace_worker(process, worker, seconds, software)
 
+    def _release_out_of_step(self, process, worker, seconds) -> None:
+        """Release software while a gateway is cut off, paused or slow, and break the streams."""
+        obstacle = self.random.choice(("cut", "delay", "pause", "stale"))
+        running = [
+            gevent.spawn(self._inject, name, process, worker, seconds)
+            for name in (obstacle, "release")
+        ]
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            gevent.sleep(self.random.uniform(0.1, 0.6))
+            found = self.random.choice(list(self.workers.values()))
+            self._inject("reset", process, found, 0.0)
+        gevent.joinall(running, raise_error=True)
+
     def _reinstall(self, process, worker, seconds) -> None:
         """Restart a model endpoint with other software under its identity."""
         worker, software = self._draw_release()
@@ -993,6 +1007,7 @@
     "poison": SoakRun._add_crashing_part,
     "replace": SoakRun._replace_worker,
     "release": SoakRun._release,
+    "out of step": SoakRun._release_out_of_step,
     "reinstall": SoakRun._reinstall,
     "leave": SoakRun._announce_leaving,
     "shed": SoakRun._shed_load,
