Check a configuration before it is sent

Operators saw a mistake in a configuration only once it was in force: the decoder rejects what cannot be used, but not entries that never match (a route behind one with the same host and prefix, a team without keys, a model without endpoints) and limits that contradict each other (an objective later than its timeout, attempts of a route whose requests may run once). In the platform's form it names the first error only.

`config check` now reports all of these, with a place and a remedy each, for the product's form and the platform's, and the differences from a saved document. Each entry of the platform's form is decoded by itself, so that one error hides no other.

--- a/bronzemux/cli_ctl.py
+++ b/bronzemux/cli_ctl.py
@@ -34,6 +34,15 @@
 flags.DEFINE_boolean("yes", False, "Do not ask for confirmation before dangerous changes.")
 flags.DEFINE_boolean("watch", False, "Repeat the command until interrupted.")
 flags.DEFINE_float("interval", 2.0, "Seconds between repeats with --watch.", lower_bound=0.1)
+flags.DEFINE_enum(
+    "form",
+    "product",
+    ["product", "platform"],
+    "Form of the document that `config check` reads: TOML of the product, or JSON of the platform.",
+)
+flags.DEFINE_string(
+    "in_force", None, "File with the document in force, with which `config check` compares."
+)
 flags.DEFINE_string("expect", None, "Version or preset that must be in force before the change.")
 flags.DEFINE_list("models", [], "Models that a new team may use.")
 flags.DEFINE_list("services", [], "Services that a new team may use.")
@@ -63,7 +72,7 @@
     arguments = settings.parse_flags(sys.argv)
     command, command_arguments = find_command(arguments)
     try:
-        run(command, command_arguments)
+        sys.exit(run(command, command_arguments))
     except errors.ConfigError as error:
         problems = [f"  {problem}" for problem in error.exceptions]
         settings.exit_with_error("\n".join([error.message, *problems]), EXIT_FAILED)
@@ -75,14 +84,18 @@
         settings.exit_with_error(str(error), EXIT_FAILED)
 
 
-def run(command, arguments: list[str]) -> None:
-    """Run a command and print its result, repeatedly with --watch."""
+def run(command, arguments: list[str]) -> int:
+    """Run a command and print its result, repeatedly with --watch.
+
+    Returns:
+      Exit status.
+    """
     while True:
         result = command(*arguments)
         is_json = FLAGS.output == "json"
         print(json.dumps(result.data, indent=2) if is_json else result.text, flush=True)
         if not FLAGS.watch:
-            return
+            return result.status
         time.sleep(FLAGS.interval)
 
 
@@ -152,6 +165,16 @@
     return pathlib.Path(path).read_text(encoding="utf-8")
 
 
+def check(path: str) -> porcelain.Result:
+    """Check a configuration document before it is sent."""
+    if FLAGS.form == "platform":
+        data = pathlib.Path(path).read_bytes()
+        in_force = pathlib.Path(FLAGS.in_force).read_bytes() if FLAGS.in_force else None
+        return porcelain.check_platform_config(data, in_force)
+    in_force = read_file(FLAGS.in_force) if FLAGS.in_force else None
+    return porcelain.check_config(read_file(path), in_force)
+
+
 def apply_edit(edit: config_edit.Edit, summary: str) -> porcelain.Result:
     """Apply an edit to the document in force."""
     return porcelain.edit_config(open_access(), edit, FLAGS.operator, summary)
@@ -259,7 +282,7 @@
 
 
 COMMANDS = {
-    "config check": (lambda path: porcelain.check_config(read_file(path)), 1),
+    "config check": (check, 1),
     "config apply": (apply, 1),
     "config show": (lambda: porcelain.show_config(open_access()), 0),
     "config history": (lambda: porcelain.config_history(open_access()), 0),
--- a/bronzemux/platform/documents.py
+++ b/bronzemux/platform/documents.py
@@ -59,12 +59,14 @@
     document = fields.load(data)
     routes: dict[str, list[model.Route]] = {}
     for item in fields.items(document, "routes"):
-        route = _route(fields.table(item, "route"))
+        route = decode_route(fields.table(item, "route"))
         routes.setdefault(route.host, []).append(route)
-    services = [_service(fields.table(s, "service")) for s in fields.items(document, "services")]
+    services = [
+        decode_service(fields.table(s, "service")) for s in fields.items(document, "services")
+    ]
     teams, isolated_teams = {}, set()
     for item in fields.items(document, "tenants", []):
-        team = _team(fields.table(item, "tenant"))
+        team = decode_team(fields.table(item, "tenant"))
         teams.update(dict.fromkeys(team.key_digests, team))
         if team.is_isolated:
             isolated_teams.add(team.name)
@@ -75,14 +77,19 @@
             for host, host_routes in routes.items()
         },
         services={service.name: service for service in services},
-        limits=_limits(fields.table(document.get("limits") or {}, "limits")),
+        limits=decode_limits(fields.table(document.get("limits") or {}, "limits")),
         teams=teams,
         has_teams="tenants" in document,
         isolated_teams=frozenset(isolated_teams),
     )
 
 
-def _route(item: dict) -> model.Route:
+def decode_route(item: dict) -> model.Route:
+    """Decode a route.
+
+    Raises:
+      fields.DocumentError: When it is malformed.
+    """
     split = [fields.table(part, "share") for part in fields.items(item, "split", [])]
     shares = tuple(
         model.Share(fields.identifier(part, "service"), fields.number(part, "weight"))
@@ -113,7 +120,12 @@
         ) from error
 
 
-def _service(item: dict) -> model.Service:
+def decode_service(item: dict) -> model.Service:
+    """Decode a service.
+
+    Raises:
+      fields.DocumentError: When it is malformed.
+    """
     engine = item.get("engine")
     if engine is not None:
         fields.table(engine, "engine")
@@ -136,7 +148,12 @@
     )
 
 
-def _team(item: dict) -> model.Team:
+def decode_team(item: dict) -> model.Team:
+    """Decode a team.
+
+    Raises:
+      fields.DocumentError: When it is malformed.
+    """
     # No request can carry a key that is no valid text.
     keys = [
         key
@@ -151,7 +168,12 @@
     )
 
 
-def _limits(item: dict) -> model.CallerLimits:
+def decode_limits(item: dict) -> model.CallerLimits:
+    """Decode the limits of what callers send.
+
+    Raises:
+      fields.DocumentError: When they are malformed.
+    """
     defaults = model.CallerLimits()
     return model.CallerLimits(
         max_head_bytes=fields.integer(item, "max_header_bytes", defaults.max_head_bytes),
--- a/bronzemux/porcelain.py
+++ b/bronzemux/porcelain.py
@@ -3,11 +3,24 @@
 import dataclasses
 import json
 import secrets
-
-from bronzemux import config, config_edit, config_store, errors, operator_api
+import tomllib
+
+from bronzemux import (
+    config,
+    config_check,
+    config_edit,
+    config_store,
+    errors,
+    findings,
+    operator_api,
+)
+from bronzemux.platform import document_check
 
 KEY_BYTES = 24
 PREVIOUS_KEYS_KEPT = 1
+# Exit statuses of a check of a configuration, for scripts.
+STATUS_ERRORS = 1
+STATUS_WARNINGS = 5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -17,14 +30,20 @@
     Attributes:
       text: Human-readable output.
       data: JSON-compatible output with the same content.
+      status: Exit status of the command.
     """
 
     text: str
     data: object
+    status: int = 0
+
 
+def check_config(text: str, in_force: str | None = None) -> Result:
+    """Check a configuration document, and compare it with another one.
 
-def check_config(text: str) -> Result:
-    """Validate a configuration document.
+    Args:
+      text: The document.
+      in_force: Document in force, None for no comparison.
 
     Raises:
       errors.ConfigError: With every problem found.
@@ -32,7 +51,49 @@
     document = config.loads(text)
     counts = {field: len(getattr(document, field)) for field in ("teams", "endpoints", "workloads")}
     summary = ", ".join(f"{count} {field}" for field, count in counts.items())
-    return Result(f"configuration is valid: {summary}", counts)
+    changes = None
+    if in_force is not None:
+        config.loads(in_force)
+        changes = list(findings.changes(tomllib.loads(in_force), tomllib.loads(text)))
+    return _check_result(
+        f"configuration is valid: {summary}", counts, config_check.check(text), changes
+    )
+
+
+def check_platform_config(data: bytes, in_force: bytes | None = None) -> Result:
+    """Check a configuration document of the platform, and compare it with another one.
+
+    Args:
+      data: The document, as the operator writes it to the store.
+      in_force: Document in force, None for no comparison.
+
+    Raises:
+      errors.BronzemuxError: When the document in force is malformed.
+    """
+    found = document_check.check(data)
+    is_readable = all(item.place != findings.WHOLE_DOCUMENT for item in found)
+    has_changes = in_force is not None and is_readable
+    changes = document_check.changes(data, in_force) if has_changes else None
+    is_valid = not any(item.severity is findings.Severity.ERROR for item in found)
+    summary = f"configuration is {'valid' if is_valid else 'not valid'}"
+    return _check_result(summary, {}, found, changes)
+
+
+def _check_result(
+    summary: str, counts: dict[str, int], found: list[findings.Finding], changes: list[str] | None
+) -> Result:
+    lines = [summary, *map(str, found)]
+    if changes is not None:
+        lines += changes or ["no difference from the document in force"]
+    data = dict(counts)
+    data["findings"] = [
+        dataclasses.asdict(item) | {"severity": item.severity.value} for item in found
+    ]
+    if changes is not None:
+        data["changes"] = changes
+    is_valid = not any(item.severity is findings.Severity.ERROR for item in found)
+    status = 0 if not found else STATUS_WARNINGS if is_valid else STATUS_ERRORS
+    return Result("\n".join(lines), data, status)
 
 
 def apply_config(
