Charge requests of capped teams to an owner's token bucket

Cause: the configuration's usage caps were not decoded, so a team could exceed its cap without bound. The bucket of the team limits moves to bronzemux/buckets.py, which both stacks use.

--- a/bronzemux/cache_store.py
+++ b/bronzemux/cache_store.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from bronzemux import config, limits
+from bronzemux import buckets, config, limits
 
 MAX_EXPORTED_PIECES = 100_000
 MAX_PREFIXES = 5_000  # also limits `dead_incarnations`
@@ -60,7 +60,7 @@
         self.exporters: collections.OrderedDict[int, str] = collections.OrderedDict()
         self.shared_prefixes: collections.OrderedDict[int, SharedPrefix] = collections.OrderedDict()
         self.dead_incarnations: collections.OrderedDict[str, None] = collections.OrderedDict()
-        self.bucket: limits.Bucket | None = None
+        self.bucket: buckets.Bucket | None = None
 
     def apply(self, settings: config.CacheStore | None) -> None:
         """Apply the settings of a configuration; None if it has no cache store."""
@@ -192,10 +192,10 @@
         """Accept exports again of an incarnation that was only unreachable."""
         self.dead_incarnations.pop(incarnation, None)
 
-    def _refilled_bucket(self, rate: float, now: float) -> limits.Bucket:
+    def _refilled_bucket(self, rate: float, now: float) -> buckets.Bucket:
         if self.bucket is None:
-            self.bucket = limits.Bucket(rate, rate * limits.BURST_SECONDS, now)
-        self.bucket.refill(rate, now)
+            self.bucket = limits.full_bucket(rate, now)
+        self.bucket.refill(rate, rate * limits.BURST_SECONDS, now)
         return self.bucket
 
 
--- a/bronzemux/gateway/admission.py
+++ b/bronzemux/gateway/admission.py
@@ -101,9 +101,17 @@
         ):
             raise failures.ShutdownError()
         check_quarantine(self.components, job, self.clock.monotonic())
+        if team is not None and team.usage_cap is not None:
+            job.usage = self.components.usage.charge(request, team)
         self.components.budget.record_request(job.service, arrived_at)
         return job
 
+    def settle(self, job: jobs.Job) -> None:
+        """Adjust the usage of a request's team to how often endpoints may have executed it."""
+        if job.usage and job.team is not None:
+            runs = job.executions + job.is_attempt_in_flight
+            self.components.usage.settle(job.team, job.usage, runs)
+
     def _await_startup(self, request: model.Request, arrived_at: float) -> None:
         """Wait until this router has read the store, or until the startup wait is over."""
         cluster_state = self.components.cluster_state
--- a/bronzemux/gateway/failures.py
+++ b/bronzemux/gateway/failures.py
@@ -1,5 +1,7 @@
 """Errors that end a request, and results of an attempt."""
 
+from collections.abc import Mapping
+
 from bronzemux import errors, records
 from bronzemux.gateway import model, placement
 
@@ -20,6 +22,7 @@
       message: What happened.
       remedy: What the caller can do.
       retry_after: Seconds after which a retry is useful, None for no advice.
+      inputs: Inputs of the decision, for the log.
 
     Attributes:
       status_if_sent: Status for a request that an endpoint may have executed.
@@ -27,8 +30,16 @@
 
     status_if_sent = 502
 
-    def __init__(self, status: int, message: str, remedy: str, retry_after: float | None = None):
+    def __init__(
+        self,
+        status: int,
+        message: str,
+        remedy: str,
+        retry_after: float | None = None,
+        inputs: Mapping[str, object] | None = None,
+    ):
         super().__init__(message, remedy)
+        self.inputs = inputs or {}
         self.status = status
         self.retry_after = retry_after
 
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -34,6 +34,7 @@
     settings,
     software_history,
     stream_origins,
+    usage_gossip,
     verdict_store,
     waiting,
     weights,
@@ -231,6 +232,7 @@
             self.meters,
             endpoint_notices.NoticeRecorder(clock, self.meters),
             continuation.Continuation(clock, self.cluster_state, origins, history, self.meters),
+            usage_gossip.UsageGossip(config, clock, self.cluster_state, self.routers, self.meters),
         )
         self.components = components
         self.forwarder = forwarder.Forwarder(components, self._router_count)
--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -278,6 +278,58 @@
     is_lapse_possible: bool = False
 
 
+@records.record
+class UsageRequest:
+    """Request of a router for units of a team's usage cap.
+
+    Attributes:
+      sender: Name of the router.
+      boot: Unix time of its start in milliseconds.
+      reply_to: Peer address of the router.
+      team: Name of the team.
+      serial: Serial number of the request, rising with each one of the sender.
+      needed: Units of the requests that wait for the grant.
+      largest: Units of the largest of them.
+      ahead: Units for requests that are expected.
+      returned: Units of earlier grants that were not used.
+      spent: Units that were used without a grant.
+      refused: Units of requests that were refused since the last message.
+    """
+
+    sender: str
+    boot: int
+    reply_to: str
+    team: str
+    serial: int
+    needed: int = 0
+    largest: int = 0
+    ahead: int = 0
+    returned: int = 0
+    spent: int = 0
+    refused: int = 0
+
+
+@records.record
+class UsageGrant:
+    """Answer to a `UsageRequest`.
+
+    Attributes:
+      owner: Name of the sender.
+      team: Name of the team.
+      serial: Serial number of the request.
+      tokens: Units granted.
+      wait_ms: Milliseconds until there is room for the rest; 0 when all that was needed is granted.
+      is_owner: Whether the sender keeps the cap of the team.
+    """
+
+    owner: str
+    team: str
+    serial: int
+    tokens: int
+    wait_ms: int
+    is_owner: bool = True
+
+
 # Routers whose requests the loads of a status message cover; the values of `relaying.Scope`.
 SCOPES = frozenset({"own", "data-centre", "all"})
 # What a roster states about its routers; the values of `routers.ListKind`.
@@ -290,11 +342,15 @@
     "rows-reply": RowsReply,
     "rows-change": RowsChange,
     "quarantine": QuarantineUpdate,
+    "usage-request": UsageRequest,
+    "usage-grant": UsageGrant,
 }
 # Integers fit into signed 64-bit integers, so that arithmetic with floating-point numbers succeeds.
 MAX_INTEGER = 2**63 - 1
 INTEGERS = range(-MAX_INTEGER, MAX_INTEGER + 1)
 COUNTS = range(MAX_INTEGER + 1)
+# Sums of many of them are exact also as floating-point numbers.
+UNITS = range(10**12 + 1)
 MAX_CPU_CORES = 1e6
 # Part of the cause of an error that its message contains.
 MAX_CAUSE_LENGTH = 200
@@ -555,6 +611,29 @@
     return rows.Batch(decoded, _check_integer(version, INTEGERS), _check_type(is_snapshot, bool))
 
 
+def _decode_usage_request(values) -> UsageRequest:
+    sender, boot, reply_to, team, *numbers = _check_length(values, 11)
+    return UsageRequest(
+        _check_type(sender, str),
+        _check_integer(boot, COUNTS),
+        _check_address(reply_to),
+        _check_type(team, str),
+        *(_check_integer(number, UNITS) for number in numbers),
+    )
+
+
+def _decode_usage_grant(values) -> UsageGrant:
+    owner, team, serial, tokens, wait_ms, is_owner = _check_length(values, 6)
+    return UsageGrant(
+        _check_type(owner, str),
+        _check_type(team, str),
+        _check_integer(serial, UNITS),
+        _check_integer(tokens, UNITS),
+        _check_integer(wait_ms, UNITS),
+        _check_type(is_owner, bool),
+    )
+
+
 def _check_length(values, count: int):
     if not isinstance(values, list) or len(values) != count:
         raise TypeError(f"expected {count} values")
@@ -594,4 +673,6 @@
     "rows-reply": _decode_rows_reply,
     "rows-change": _decode_rows_change,
     "quarantine": _decode_quarantine_update,
+    "usage-request": _decode_usage_request,
+    "usage-grant": _decode_usage_grant,
 }
--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -336,6 +336,9 @@
         except Exception as error:  # noqa: BLE001 - the caller gets an error response
             may_have_run = job is not None and job.may_have_run
             self._refuse_failed(caller, request.id, error, may_have_run)
+        finally:
+            if job is not None:
+                self.admission.settle(job)
 
     def _admit(
         self, request: model.Request, caller: CallerConnection, arrived_at: float
@@ -353,6 +356,7 @@
                 config=known.configuration.version if known.configuration else None,
                 age=known.age(),
                 retry_after=error.retry_after,
+                **error.inputs,
             )
             self.forwarder.components.meters.refusals.labels(str(error.status)).inc()
             caller.refuse(request.id, error.status, str(error), error.retry_after)
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -20,6 +20,7 @@
     reachability,
     settings,
     stream_origins,
+    usage_gossip,
     waiting,
 )
 
@@ -58,6 +59,7 @@
       choice: Endpoint of the last attempt, None before the first.
       used_channels: Connections on which the request was sent, or was about to be.
       failed_attempts: Endpoint and cause of each failed attempt, for the log.
+      usage: Units charged to the usage cap of the team.
     """
 
     request: model.Request
@@ -80,6 +82,7 @@
     choice: placement.Choice | None = None
     used_channels: list[http1.Channel] = dataclasses.field(default_factory=list)
     failed_attempts: list[str] = dataclasses.field(default_factory=list)
+    usage: int = 0
 
     @functools.cached_property
     def part_fingerprints(self) -> tuple[str, ...]:
@@ -144,3 +147,4 @@
     meters: meters.GatewayMetrics
     notices: endpoint_notices.NoticeRecorder
     continuation: continuation.Continuation
+    usage: usage_gossip.UsageGossip
--- a/bronzemux/gateway/meters.py
+++ b/bronzemux/gateway/meters.py
@@ -36,6 +36,13 @@
         self.stored_origins = self._counter(
             "stream_origins_stored", "Origins of streams written to the store"
         )
+        self.usage = self._counter(
+            "usage_units", "Units of capped teams: charged, refused, unowned, returned", "outcome"
+        )
+        self.usage_waits = self._counter(
+            "usage_waits", "Requests that waited for the owner of a cap, by end", "end"
+        )
+        self.usage_debt = self._gauge("usage_debt_units", "Units that owned caps are overdrawn by")
         self.first_event = self._histogram("first_answer_seconds", "Time to first answer byte")
         self.total = self._histogram("request_seconds", "Time to the end of the answer")
         self.waited = self._histogram("queue_seconds", "Time until an endpoint was chosen")
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -102,6 +102,30 @@
     cache_tokens: int = 0
 
 
+@records.record
+class UsageCap:
+    """Cap on the usage of a team, for all routers together.
+
+    Attributes:
+      rate: Units per second, above 0.
+      burst: Units that the team may use beyond the rate.
+      counts_tokens: Whether the unit is a token; otherwise it is a request.
+      default_tokens: Tokens of a request whose prompt is not described.
+    """
+
+    rate: float
+    burst: float
+    counts_tokens: bool = True
+    default_tokens: int = 0
+
+    def units(self, request: "Request") -> int:
+        """Return the units that a request counts for."""
+        if not self.counts_tokens:
+            return 1
+        prompt = request.prompt
+        return prompt.memory_tokens if prompt is not None else self.default_tokens
+
+
 @records.record
 class Team:
     """Team that owns API keys.
@@ -111,12 +135,14 @@
       key_digests: Digests of its keys, made by `digest_key`.
       priority: 0 is the most urgent, None for the priority of the route.
       is_isolated: Whether the team shares cached prompt parts with no other team.
+      usage_cap: Cap on its usage, None for no cap.
     """
 
     name: str
     key_digests: frozenset[bytes]
     priority: int | None = None
     is_isolated: bool = False
+    usage_cap: UsageCap | None = None
 
 
 @records.record
@@ -168,6 +194,11 @@
         """Return the team that owns an API key, None when no team does."""
         return self.teams.get(digest_key(key)) if key else None
 
+    @functools.cached_property
+    def usage_caps(self) -> Mapping[str, UsageCap]:
+        """Return the usage caps by name of the team."""
+        return {t.name: t.usage_cap for t in self.teams.values() if t.usage_cap is not None}
+
     def cache_stores(self) -> tuple[Service, ...]:
         """Return the services that store KV cache."""
         return tuple(s for s in self.services.values() if s.cache_store)
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -41,6 +41,8 @@
 # Interval of the replies to a router that gets no regular status messages. The replies show that
 # router that its messages arrive, so that it can request the roster and find its relays.
 REPLY_INTERVAL_SECONDS = 0.5
+# Connections on which usage caps were exchanged are kept for this long.
+USAGE_IDLE_SECONDS = 10.0
 
 
 @records.record
@@ -86,6 +88,8 @@
       roster_requested_at: Monotonic seconds of the last request for the roster of a router, by its
         name.
       replied_at: Monotonic seconds of the last request or reply to a router, by peer address.
+      usage: What is exchanged about the usage caps of teams.
+      usage_sent_at: Monotonic seconds of the last message about usage caps, by peer address.
       store_following: Whether this router follows the store itself.
       announced_at: Monotonic seconds at which status messages were last sent.
       reserve_announced_at: The same for messages to reserve routers.
@@ -132,6 +136,9 @@
             self.components.crashes, self.clock, self.request_announcement
         )
         gateway_forwarder.on_first_request = self._on_first_request
+        self.usage = self.components.usage
+        self.usage.send = self._send_usage
+        self.usage_sent_at: dict[str, float] = {}
         self.announced_at = -1e9
         self.reserve_announced_at = -1e9
         self.next_regular_at = -1e9
@@ -227,6 +234,7 @@
             self.next_tick = min(self.next_tick, peers_only_until)
         self._announce(now, is_regular)
         self.store_following.update()
+        self.usage.tick(now)
 
     def _status_interval(self, now: float) -> float:
         """Return the interval of this router's regular status messages in seconds."""
@@ -307,9 +315,11 @@
         recently_replied = {
             a for a, at in self.replied_at.items() if now - at < routers.FAILURE_TIMEOUT_SECONDS
         }
-        for address in set(self.peers) - set(targets) - recently_replied:
+        recently_used = {a for a, at in self.usage_sent_at.items() if now - at < USAGE_IDLE_SECONDS}
+        for address in set(self.peers) - set(targets) - recently_replied - recently_used:
             self.peers.pop(address).close()
             self.replied_at.pop(address, None)
+            self.usage_sent_at.pop(address, None)
 
     def _send(self, address: str, message: bytes) -> None:
         peer = self.peers.get(address)
@@ -325,6 +335,10 @@
         self.replied_at[router.peer_address] = now
         self._send(router.peer_address, gossip.encode(message))
 
+    def _send_usage(self, address: str, message) -> None:
+        self.usage_sent_at[address] = self.clock.monotonic()
+        self._send(address, gossip.encode(message))
+
     def _status(
         self, router: gossip.Router, audience: routers.Audience, now: float
     ) -> gossip.Status:
@@ -452,6 +466,14 @@
         audiences = relaying.forward_audiences(message, self.table, now)
         self.quarantine_gossip.apply(message, audiences, now)
 
+    @handle.register
+    def _handle_usage_request(self, message: gossip.UsageRequest) -> None:
+        self.usage.answer(message)
+
+    @handle.register
+    def _handle_usage_grant(self, message: gossip.UsageGrant) -> None:
+        self.usage.apply(message)
+
     def _compare_rosters(self, message: gossip.Status, now: float) -> None:
         """Request a roster that changed, and reply to a router that gets no regular messages."""
         router = message.router
--- a/bronzemux/gateway/settings.py
+++ b/bronzemux/gateway/settings.py
@@ -17,6 +17,9 @@
       retry_window_seconds: Window over which requests and retries are counted.
       retry_slack: Retries of all routers together that are allowed beyond the ratio in one window.
       directory_ttl_seconds: Longest lifetime of a directory response.
+      usage_window_seconds: Window over which the usage of a team is counted.
+      usage_overage: Fraction by which a team may exceed its usage cap in one window.
+      usage_slack: Units by which it may exceed the cap besides.
     """
 
     stop_seconds: float = 8.0
@@ -28,6 +31,9 @@
     retry_window_seconds: float = 10.0
     retry_slack: float = 20.0
     directory_ttl_seconds: float = 5.0
+    usage_window_seconds: float = 8.0
+    usage_overage: float = 0.0
+    usage_slack: float = 0.0
 
 
 @records.record
--- a/bronzemux/limits.py
+++ b/bronzemux/limits.py
@@ -2,42 +2,12 @@
 
 import dataclasses
 
-from bronzemux import config, errors
+from bronzemux import buckets, config, errors
 
 BURST_SECONDS = 2.0
 MIN_RETRY_AFTER_SECONDS = 0.05
 
 
-@dataclasses.dataclass
-class Bucket:
-    """Token bucket.
-
-    Attributes:
-      rate: Units per second.
-      level: Units available; negative after a request larger than the bucket.
-      updated_at: Monotonic seconds of the last refill.
-    """
-
-    rate: float
-    level: float
-    updated_at: float
-
-    def refill(self, rate: float, now: float) -> None:
-        """Refill the bucket at a rate that may have changed, up to `BURST_SECONDS` of it."""
-        self.level = min(rate * BURST_SECONDS, self.level + (now - self.updated_at) * rate)
-        self.rate = rate
-        self.updated_at = now
-
-    def wait_seconds(self, units: float) -> float:
-        """Return the seconds until units are available, 0 if they are available now.
-
-        A request for more units than the bucket can hold is granted once the bucket is full, and
-        makes its level negative.
-        """
-        needed = min(units, self.rate * BURST_SECONDS)
-        return max(0.0, (needed - self.level) / self.rate)
-
-
 @dataclasses.dataclass
 class TeamUsage:
     """Usage of one team at this router.
@@ -49,8 +19,8 @@
       total_requests: Number of requests admitted since the dispatcher started.
     """
 
-    requests: Bucket
-    tokens: Bucket
+    requests: buckets.Bucket
+    tokens: buckets.Bucket
     running: int = 0
     total_requests: float = 0.0
 
@@ -106,14 +76,20 @@
         token_rate = team.limits.tokens_per_second * share
         team_usage = self.usage.get(team.name)
         if team_usage is None:
-            requests = Bucket(request_rate, request_rate * BURST_SECONDS, now)
-            tokens = Bucket(token_rate, token_rate * BURST_SECONDS, now)
-            team_usage = self.usage[team.name] = TeamUsage(requests, tokens)
-        team_usage.requests.refill(request_rate, now)
-        team_usage.tokens.refill(token_rate, now)
+            team_usage = self.usage[team.name] = TeamUsage(
+                full_bucket(request_rate, now), full_bucket(token_rate, now)
+            )
+        team_usage.requests.refill(request_rate, request_rate * BURST_SECONDS, now)
+        team_usage.tokens.refill(token_rate, token_rate * BURST_SECONDS, now)
         return team_usage
 
 
+def full_bucket(rate: float, now: float) -> buckets.Bucket:
+    """Return a full bucket that holds the units of `BURST_SECONDS`."""
+    capacity = rate * BURST_SECONDS
+    return buckets.Bucket(rate, capacity, capacity, now)
+
+
 def _limit_error(name: str, limit: float, wait: float) -> errors.LimitExceededError:
     return errors.LimitExceededError(
         f"the team's limit of {limit:g} {name} at this router is reached",
--- a/bronzemux/platform/boot.py
+++ b/bronzemux/platform/boot.py
@@ -90,4 +90,7 @@
         retry_window_seconds=fields.number(item, "budget_window_s", defaults.retry_window_seconds),
         retry_slack=fields.number(item, "retry_slack", defaults.retry_slack),
         directory_ttl_seconds=fields.number(item, "ttl_max_s", defaults.directory_ttl_seconds),
+        usage_window_seconds=fields.number(item, "quota_window_s", defaults.usage_window_seconds),
+        usage_overage=fields.number(item, "quota_overage", defaults.usage_overage),
+        usage_slack=fields.number(item, "quota_slack", defaults.usage_slack),
     )
--- a/bronzemux/platform/documents.py
+++ b/bronzemux/platform/documents.py
@@ -13,6 +13,9 @@
 # Far above the capacity of any engine, and small enough for arithmetic with floating-point numbers.
 MAX_SLOTS = 1_000_000
 MAX_TOKENS = 10**12
+TOKEN_UNIT = "token_stream"
+REQUEST_UNIT = "request"
+USAGE_UNITS = (REQUEST_UNIT, TOKEN_UNIT)
 
 
 class PlatformDocuments(cluster_state.DocumentDecoder):
@@ -148,9 +151,24 @@
         key_digests=frozenset(model.digest_key(key) for key in keys),
         priority=fields.integer(item, "priority") if "priority" in item else None,
         is_isolated=fields.flag(item, "isolated", False),
+        usage_cap=_usage_cap(item),
     )
 
 
+def _usage_cap(item: dict) -> model.UsageCap | None:
+    rate = fields.number(item, "rate_per_s", 0.0)
+    burst = fields.number(item, "burst", 0.0)
+    unit = fields.identifier(item, "unit", REQUEST_UNIT)
+    if unit not in USAGE_UNITS:
+        raise fields.DocumentError(
+            f"unit {reprlib.repr(unit)} is unknown", f"use one of {', '.join(USAGE_UNITS)}"
+        )
+    default_tokens = fields.integer(item, "uncached_tokens", 0, MAX_TOKENS)
+    if not rate:
+        return None
+    return model.UsageCap(rate, burst, unit == TOKEN_UNIT, default_tokens)
+
+
 def _limits(item: dict) -> model.CallerLimits:
     defaults = model.CallerLimits()
     return model.CallerLimits(
