--- a/features/gateway_decoders.py
+++ b/features/gateway_decoders.py
@@ -23,6 +23,7 @@
     relaying,
     routers,
     rows,
+    usage_caps,
     weights,
 )
 from bronzemux.platform import boot, documents, fields, store
@@ -41,6 +42,7 @@
     "sequence": 1,
     "born": 1000,
 }
+CAP = {"rate_per_s": 9000, "burst": 9000.5, "unit": "token_stream", "uncached_tokens": 50}
 CONFIGURATION = gateway_support.configuration(
     routes=[
         gateway_support.route(
@@ -52,6 +54,7 @@
         *gateway_support.configuration()["services"],
         {"name": "kv", "kv_store_addr": "10.0.0.2:1", "zone": "a", "kv_capacity_tokens": 1000},
     ],
+    tenants=[{"name": "clerks", "api_keys": ["key-clerks"], **CAP}],
 )
 SETTINGS = {
     "node_name": "front-a-1",
@@ -129,7 +132,9 @@
     """Decode a configuration, look up a request in it, and use its limits."""
     config = documents.PlatformDocuments().decode_operator("config", data)
     config.route(gateway_support.HOST, "/filing/1")
-    config.team("key-clerks")
+    team = config.team("key-clerks")
+    if team is not None and team.usage_cap is not None:
+        use_cap(team.usage_cap)
     METERS.config_version.set(config.version)
     log(version=config.version, routes=len(config.routes))
     seconds = [config.limits.head_timeout_seconds, config.limits.idle_timeout_seconds]
@@ -143,6 +148,18 @@
     METERS.expose()
 
 
+def use_cap(cap: model.UsageCap) -> None:
+    """Charge requests to a cap that was decoded."""
+    owned, borrower = usage_caps.OwnedCap(cap, 0.0), usage_caps.Borrower(0.0)
+    router = gossip.Router("a", 1, "10.0.0.9:1", "10.0.0.9:2", "a", True)
+    for serial in range(3):
+        waiting = [cap.units(model.Request("r", "GET", "/", "h"))]
+        request = borrower.request(router, "clerks", serial, waiting, 0.1 * serial)
+        owned.refill(cap, 0.5, 0.1 * serial)
+        borrower.apply(gossip.decode(gossip.encode(owned.answer(request, router))), 0.1 * serial)
+        borrower.try_spend_unowned(waiting[0], cap, 100.0, (3, 2), 0.1 * serial)
+
+
 def use_target(data: bytes) -> None:
     """Decode a weights target, record it, and announce it to a peer."""
     target = documents.PlatformDocuments().decode_operator(f"version/{MODEL}", data)
@@ -243,6 +260,8 @@
     STATUS,
     ["quarantine", [STATUS[1][0], "own", [["lm-1/1000", [[["a", "b"], 20]]]], ["c"], []]],
     ["quarantine", [STATUS[1][0], "own", [], [], [[["a"], "lm-1/1000", 20, 60_000]]]],
+    ["usage-request", ["b1", 1, "10.0.0.7:1", "clerks", 3, 900, 900, 400, 10, 20, 30]],
+    ["usage-grant", ["b1", "clerks", 3, 900, 250, True]],
     ["roster-request", [STATUS[1][0]]],
     ["roster-reply", ["b1", "view", [STATUS[1][0]]]],
     ["rows-request", ["servers", "10.0.0.7:1"]],
