Begin with an empty bucket after a pause of a cap's owner

Cause: others own the cap while a router is paused; its full bucket would grant the burst twice. A request that names a model without token counts was charged nothing. Change: a bucket that was not refilled for longer than the failure timeout is empty; such a request counts as the default.

--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -110,7 +110,7 @@
       rate: Units per second, above 0.
       burst: Units that the team may use beyond the rate.
       counts_tokens: Whether the unit is a token; otherwise it is a request.
-      default_tokens: Tokens of a request whose prompt is not described.
+      default_tokens: Tokens of a request that does not state them.
     """
 
     rate: float
@@ -122,8 +122,8 @@
         """Return the units that a request counts for."""
         if not self.counts_tokens:
             return 1
-        prompt = request.prompt
-        return prompt.memory_tokens if prompt is not None else self.default_tokens
+        tokens = request.prompt.memory_tokens if request.prompt is not None else 0
+        return tokens or self.default_tokens
 
 
 @records.record
--- a/bronzemux/gateway/usage_caps.py
+++ b/bronzemux/gateway/usage_caps.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 
 from bronzemux import buckets
-from bronzemux.gateway import gossip, model, router_ranking, settings
+from bronzemux.gateway import gossip, model, router_ranking, routers, settings
 
 # A grant is valid for this long after it was requested. Tokens of grants that were not used are
 # what a team may exceed its cap by within one window.
@@ -36,6 +36,8 @@
 # ones: the size of the largest one of this time, but at most this fraction of the bucket.
 LARGEST_SECONDS = 10.0
 MAX_RESERVED_FRACTION = 1 / 4
+# After a pause of an owner for longer than this, others may consider it dead and own its caps.
+MAX_PAUSE_SECONDS = routers.FAILURE_TIMEOUT_SECONDS
 # Fraction of what the deployment tolerates beyond the caps that routers without an owner spend.
 UNOWNED_FRACTION = 0.5
 
@@ -94,7 +96,9 @@
         self.promised = 0.0
 
     def refill(self, cap: model.UsageCap, fraction: float, now: float) -> None:
-        """Add the tokens of the time that has passed.
+        """Add the units of the time that has passed.
+
+        After a pause the bucket is empty, like that of a new owner.
 
         Args:
           cap: The cap in force.
@@ -104,6 +108,9 @@
         """
         elapsed = now - self.bucket.updated_at
         self.promised = max(0.0, self.promised - elapsed * self.bucket.rate)
+        if elapsed > MAX_PAUSE_SECONDS:
+            self.bucket.level = min(0.0, self.bucket.level)
+            self.bucket.updated_at = now
         self.bucket.refill(cap.rate * fraction, cap.burst * fraction, now)
         if now - self.largest_since > LARGEST_SECONDS:
             self.largest = (0, self.largest[0])
--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -237,6 +237,21 @@
     assert found and used <= allowed, f"{used} of {allowed} units"
 
 
+@when("the owner is paused for 5 s")
+def step_paused(context):
+    context.simulation.now += 5.0
+
+
+@then("the owner grants nothing at once, and a tenth of a second of the rate after that time")
+def step_empty_after_pause(context):
+    owned, now = context.simulation.owners["o"], context.simulation.now
+    assert owned.bucket.level == CAP.burst, owned.bucket
+    owned.refill(CAP, 1.0, now)
+    assert owned.bucket.level == 0, owned.bucket
+    owned.refill(CAP, 1.0, now + 0.1)
+    assert abs(owned.bucket.level - CAP.rate / 10) < 1, owned.bucket
+
+
 # Gateways
 
 
@@ -352,6 +367,8 @@
     assert found == model.UsageCap(9.0, 4.0, True, 7), found
     bare = model.Request("q", "GET", "/", "h")
     assert found.units(bare) == 7
+    undescribed = model.Request("q", "GET", "/", "h", prompt=model.Prompt("m", 0, 0))
+    assert found.units(undescribed) == 7
     assert found.units(model.Request("q", "GET", "/", "h", prompt=model.Prompt("m", 30, 4))) == 34
     assert decode({"rate_per_s": 9}).units(bare) == 1
     for cap in ({}, {"rate_per_s": 0, "burst": 5}):
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -58,6 +58,11 @@
     When a team sends at 5 times its cap for 20 s, and after 8 s the cap is lowered to a tenth
     Then from second 9 on, no window has more than the lowered cap and what is tolerated beyond it
 
+  Scenario: An owner that was paused begins with an empty bucket
+    Given 90 routers that borrow from an owner
+    When the owner is paused for 5 s
+    Then the owner grants nothing at once, and a tenth of a second of the rate after that time
+
   Scenario: Units of requests that no endpoint executed are given back
     Given a fleet of 6 routers with a cap of 10000 units a second for the team "clerks"
     When router "a1" charges 5 requests of 1,000 units and none is executed
--- a/features/usage_model.py
+++ b/features/usage_model.py
@@ -182,6 +182,8 @@
                 self._spend_unowned(name, waiting.pop(0)[0])
         if self.now >= self.next_report_at:
             self.next_report_at = self.now + REPORT_SECONDS
+            for owned in self.owners.values():
+                owned.refill(self.cap, self.fraction, self.now)
             for name, borrower in self.borrowers.items():
                 borrower.expire(self.now)
                 if borrower.has_report():
