--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+import eliot
 import gevent
 from behave import given, then, when
 
@@ -329,6 +330,64 @@
     assert 0 < sum(charged) <= 8_000, charged
 
 
+@then('exactly one router keeps the cap, and router "{name}" can charge 5 requests of 1,000 units')
+def step_one_owner(context, name):
+    assert len(owner_names(context)) == 1, owner_names(context)
+    charged = charge(context, name, 5)
+    assert charged == [1_000] * 5, charged
+
+
+def owner_names(context) -> list[str]:
+    """Return the names of the running routers that keep a cap."""
+    fleet = context.fleet
+    running = set(fleet.gateways) - fleet.down
+    return [name for name in running if fleet.gateways[name].components.usage.owned]
+
+
+@when("the owner of the cap crashes and 3 s pass")
+def step_owner_crashes(context):
+    context.fleet.down.update(owner_names(context))
+    context.fleet.run(3.0)
+
+
+@given('a gateway with a cap of {rate:d} units a second for the team "clerks"')
+def step_gateway(context, rate):
+    context.site = gateway_support.Site()
+    context.cleanups.append(context.site.stop)
+    document = gateway_support.configuration()
+    document["tenants"][0] |= {"rate_per_s": rate, "burst": rate, "unit": "token_stream"}
+    context.site.store.put("op", "config", document)
+    context.site.add_worker("lm-1", "lm", {gateway_support.MODEL: 1})
+    started = context.site.add_gateway()
+    usage = started.components.usage
+    gateway_support.wait_for(
+        lambda: usage.owned and usage.owned["clerks"].bucket.level >= rate, seconds=10.0
+    )
+
+
+@when("the team sends {count:d} requests of 110 units to it, one after the other")
+def step_send(context, count):
+    context.log = []
+    eliot.add_destinations(context.log.append)
+    context.cleanups.append(lambda: eliot.remove_destination(context.log.append))
+    context.replies = [context.site.send("/classify/1") for _ in range(count)]
+
+
+@then("at least 9 are served and at least 9 get 429 with a Retry-After of 0.1 to 10 s")
+def step_replies(context):
+    statuses = collections.Counter(reply.status for reply in context.replies)
+    assert set(statuses) == {200, 429} and min(statuses.values()) >= 9, statuses
+    refused = [reply for reply in context.replies if reply.status == 429]
+    assert all(0.1 <= float(reply.head.get("retry-after")) <= 10 for reply in refused)
+
+
+@then("the log of a refusal names the cap, its owner and the age of its last answer")
+def step_refusal_log(context):
+    found = next(line for line in context.log if line.get("message_type") == "request_refused")
+    assert (found["team"], found["units"], found["cap"]) == ("clerks", 110, 1000.0), found
+    assert found["owner"] == "vm-1" and 0 <= found["grant_age"] < 5, found
+
+
 @then("within 5 s no message about usage is sent, and every request is charged nothing")
 def step_no_messages(context):
     sent = []
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -73,6 +73,18 @@
     When router "a1" is cut off from all others for 5 s
     Then router "a1" charges at most 8,000 units within 3 s
 
+  Scenario: In a fleet with relays every capped team has one owner, also after that one crashed
+    Given a fleet of 24 routers with a cap of 10000 units a second for the team "clerks"
+    Then exactly one router keeps the cap, and router "a1" can charge 5 requests of 1,000 units
+    When the owner of the cap crashes and 3 s pass
+    Then exactly one router keeps the cap, and router "a1" can charge 5 requests of 1,000 units
+
+  Scenario: A request over the cap gets 429, the others are served
+    Given a gateway with a cap of 1000 units a second for the team "clerks"
+    When the team sends 30 requests of 110 units to it, one after the other
+    Then at least 9 are served and at least 9 get 429 with a Retry-After of 0.1 to 10 s
+    And the log of a refusal names the cap, its owner and the age of its last answer
+
   Scenario: Without caps in the configuration there are no messages about them
     Given a fleet of 6 routers without caps
     Then within 5 s no message about usage is sent, and every request is charged nothing
