--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -317,7 +317,7 @@
       owner: Name of the sender.
       team: Name of the team.
       serial: Serial number of the request.
-      tokens: Units granted.
+      units: Units granted.
       wait_ms: Milliseconds until there is room for the rest; 0 when all that was needed is granted.
       is_owner: Whether the sender keeps the cap of the team.
     """
@@ -325,7 +325,7 @@
     owner: str
     team: str
     serial: int
-    tokens: int
+    units: int
     wait_ms: int
     is_owner: bool = True
 
@@ -623,12 +623,12 @@
 
 
 def _decode_usage_grant(values) -> UsageGrant:
-    owner, team, serial, tokens, wait_ms, is_owner = _check_length(values, 6)
+    owner, team, serial, units, wait_ms, is_owner = _check_length(values, 6)
     return UsageGrant(
         _check_type(owner, str),
         _check_type(team, str),
         _check_integer(serial, UNITS),
-        _check_integer(tokens, UNITS),
+        _check_integer(units, UNITS),
         _check_integer(wait_ms, UNITS),
         _check_type(is_owner, bool),
     )
--- a/bronzemux/gateway/usage_caps.py
+++ b/bronzemux/gateway/usage_caps.py
@@ -1,7 +1,7 @@
 """Decisions on the usage caps of teams, which hold for all routers together.
 
 Each capped team has an owner, one of the relays, that keeps the token bucket of the team. Every
-router borrows tokens from it for a short time and returns what it has not used. A router that gets
+router borrows units from it for a short time and returns what it has not used. A router that gets
 no answer spends from a small bucket of its own, and the owner deducts that later.
 
 This module does no I/O.
@@ -15,14 +15,14 @@
 from bronzemux import buckets
 from bronzemux.gateway import gossip, model, router_ranking, routers, settings
 
-# A grant is valid for this long after it was requested. Tokens of grants that were not used are
+# A grant is valid for this long after it was requested. Units of grants that were not used are
 # what a team may exceed its cap by within one window.
 GRANT_SECONDS = 0.5
 # Routers borrow what they expect to need within this time.
 AHEAD_SECONDS = 0.25
-# Fraction of the free tokens that one router may borrow beyond the requests that wait.
+# Fraction of the free units that one router may borrow beyond the requests that wait.
 MAX_AHEAD_FRACTION = 1 / 8
-# A request for tokens without an answer is repeated after this long.
+# A request for units without an answer is repeated after this long.
 REPEAT_SECONDS = 0.1
 # After a refusal by the owner, a router refuses requests itself for at most this long.
 REFUSAL_SECONDS = 0.1
@@ -67,21 +67,21 @@
 
 
 def tolerated_units(cap: model.UsageCap, bounds: settings.Bounds) -> float:
-    """Return the tokens that the deployment tolerates beyond a cap in one window."""
+    """Return the units that the deployment tolerates beyond a cap in one window."""
     allowed = cap.rate * bounds.usage_window_seconds + cap.burst
     return bounds.usage_overage * allowed + bounds.usage_slack
 
 
 class OwnedCap:
-    """Token bucket of one team at its owner.
+    """Bucket of one team at its owner.
 
     It begins empty, as a predecessor may have granted the whole burst just before.
 
     Attributes:
-      bucket: The tokens that may be granted.
+      bucket: The units that may be granted.
       serials: Serial number of the last request of each router, by its name and start.
       largest: Largest request of the current `LARGEST_SECONDS` and of those before.
-      promised: Tokens of refused requests that are expected to come again.
+      promised: Units of refused requests that are expected to come again.
 
     Args:
       cap: The cap.
@@ -117,7 +117,7 @@
             self.largest_since = now
 
     def answer(self, request: gossip.UsageRequest, owner: gossip.Router) -> gossip.UsageGrant:
-        """Return the tokens granted to a router; call `refill` before.
+        """Return the units granted to a router; call `refill` before.
 
         A repeated or reordered request is granted nothing and changes nothing.
 
@@ -165,32 +165,32 @@
 
 @dataclasses.dataclass
 class Borrowed:
-    """Tokens of one grant that are left.
+    """Units of one grant that are left.
 
     Attributes:
-      tokens: The tokens.
+      units: The units.
       expires_at: Monotonic seconds until which they may be spent.
     """
 
-    tokens: int
+    units: int
     expires_at: float
 
 
 class Borrower:
-    """Tokens of one team at a router that borrows them.
+    """Units of one team at a router that borrows them.
 
     Attributes:
       borrowed: Grants, the oldest first.
       sent_at: Monotonic seconds of the requests to the owner without an answer, by serial number.
-      demand: Tokens per second that callers have lately asked for.
-      returned: Tokens to return with the next request to the owner.
-      spent: Tokens spent without a grant that the next request reports.
-      refused: Tokens of refused requests that the next request reports.
+      demand: Units per second that callers have lately asked for.
+      returned: Units to return with the next request to the owner.
+      spent: Units spent without a grant that the next request reports.
+      refused: Units of refused requests that the next request reports.
       refused_until: Monotonic seconds until which requests are refused without asking the owner.
-      room_at: Monotonic seconds from which on the owner expects to have tokens.
+      room_at: Monotonic seconds from which on the owner expects to have units.
       silent_until: Monotonic seconds until which the owner is not awaited.
       answered_at: Monotonic seconds of the last answer of the owner, None before the first.
-      unowned: Tokens for the time without an owner, which fill from the start on; None until they
+      unowned: Units for the time without an owner, which fill from the start on; None until they
         are first used.
 
     Args:
@@ -212,49 +212,49 @@
         self.answered_at: float | None = None
         self.unowned: buckets.Bucket | None = None
 
-    def record_demand(self, tokens: int, now: float) -> None:
-        """Count the tokens of a request that arrived."""
+    def record_demand(self, units: int, now: float) -> None:
+        """Count the units of a request that arrived."""
         elapsed = now - self.demand_at
         self.demand *= max(0.0, 1 - elapsed / DEMAND_SECONDS)
-        self.demand += tokens / DEMAND_SECONDS
+        self.demand += units / DEMAND_SECONDS
         self.demand_at = now
 
     def expire(self, now: float) -> None:
-        """Set aside the tokens of expired grants, to return them."""
+        """Set aside the units of expired grants, to return them."""
         while self.borrowed and self.borrowed[0].expires_at <= now:
-            self.returned += self.borrowed.popleft().tokens
+            self.returned += self.borrowed.popleft().units
 
     def balance(self, now: float) -> int:
-        """Return the tokens that may be spent."""
+        """Return the units that may be spent."""
         self.expire(now)
-        return sum(item.tokens for item in self.borrowed)
+        return sum(item.units for item in self.borrowed)
 
-    def try_spend(self, tokens: int, now: float) -> bool:
-        """Spend tokens if that many are left; return whether they were."""
-        if self.balance(now) < tokens:
+    def try_spend(self, units: int, now: float) -> bool:
+        """Spend units if that many are left; return whether they were."""
+        if self.balance(now) < units:
             return False
-        while tokens:
-            taken = min(tokens, self.borrowed[0].tokens)
-            self.borrowed[0].tokens -= taken
-            tokens -= taken
-            if not self.borrowed[0].tokens:
+        while units:
+            taken = min(units, self.borrowed[0].units)
+            self.borrowed[0].units -= taken
+            units -= taken
+            if not self.borrowed[0].units:
                 self.borrowed.popleft()
         return True
 
     def try_spend_unowned(
         self,
-        tokens: int,
+        units: int,
         cap: model.UsageCap,
         tolerated: float,
         shares: tuple[int, int],
         now: float,
     ) -> bool:
-        """Spend tokens while no owner answers; return whether that is allowed.
+        """Spend units while no owner answers; return whether that is allowed.
 
         Args:
-          tokens: Tokens of a request.
+          units: Units of a request.
           cap: The cap.
-          tolerated: Tokens tolerated beyond it in one window, by all routers.
+          tolerated: Units tolerated beyond it in one window, by all routers.
           shares: Number of known routers, among which the rate is divided, and the number by which
             a budget of all routers is divided.
           now: Monotonic seconds.
@@ -265,10 +265,10 @@
             self.unowned = buckets.Bucket(rate, capacity, 0.0, self.started_at)
         self.unowned.refill(rate, capacity, now)
         # A request larger than the bucket is not granted: all routers may do this at once.
-        if self.unowned.level < tokens:
+        if self.unowned.level < units:
             return False
-        self.unowned.level -= tokens
-        self.spent += tokens
+        self.unowned.level -= units
+        self.spent += units
         return True
 
     def is_request_due(self, now: float) -> bool:
@@ -276,7 +276,7 @@
         return all(now - at >= REPEAT_SECONDS for at in self.sent_at.values())
 
     def wants_more(self, now: float) -> bool:
-        """Return whether the router should borrow tokens before a request needs them."""
+        """Return whether the router should borrow units before a request needs them."""
         ahead = self.demand * AHEAD_SECONDS
         return self.balance(now) < ahead / 2 and now >= self.refused_until
 
@@ -289,7 +289,7 @@
           router: This router.
           team: Name of the team.
           serial: Serial number, higher than that of any earlier request of this router.
-          waiting: Tokens of each request that waits for the answer.
+          waiting: Units of each request that waits for the answer.
           now: Monotonic seconds.
         """
         balance = self.balance(now)
@@ -320,8 +320,8 @@
             return False
         self.answered_at = now
         self.silent_until = -1e9
-        if grant.tokens:
-            self.borrowed.append(Borrowed(grant.tokens, sent_at + GRANT_SECONDS))
+        if grant.units:
+            self.borrowed.append(Borrowed(grant.units, sent_at + GRANT_SECONDS))
         if grant.wait_ms and grant.is_owner:
             wait = grant.wait_ms / 1000
             self.refused_until = now + min(wait, REFUSAL_SECONDS)
@@ -336,14 +336,14 @@
         """Record that the owner did not answer in time."""
         self.silent_until = now + SILENCE_SECONDS
 
-    def refuse(self, tokens: int, spread: float, now: float) -> float:
+    def refuse(self, units: int, spread: float, now: float) -> float:
         """Count a refused request; return the seconds after which it may be sent again.
 
         Args:
-          tokens: Tokens of the request.
+          units: Units of the request.
           spread: From 0 to 1; spreads the requests that are sent again.
           now: Monotonic seconds.
         """
-        self.refused += tokens
+        self.refused += units
         seconds = max(0.0, self.room_at - now) * (1 + spread)
         return min(MAX_RETRY_AFTER_SECONDS, max(REFUSAL_SECONDS * (1 + spread), seconds))
