Decode the objective for pauses between the events of a stream

Cause: decisions about order are to apply only to routes that state such an objective of at least a setting, 0.35 s; nothing decoded it.

Change: model.Route.pause_objective_seconds, 0 without one, and GatewaySettings.min_pause_objective_seconds. Nothing reads them yet.

--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -46,6 +46,7 @@
       priority: 0 is the most urgent.
       is_anonymous: Whether requests need no API key.
       is_resumable: Whether another endpoint may resume an interrupted stream.
+      pause_objective_seconds: Objective for the pauses between the events of a stream, 0 for none.
     """
 
     name: str
@@ -59,6 +60,7 @@
     priority: int = 5
     is_anonymous: bool = False
     is_resumable: bool = False
+    pause_objective_seconds: float = 0.0
 
     @property
     def is_idempotent(self) -> bool:
--- a/bronzemux/gateway/settings.py
+++ b/bronzemux/gateway/settings.py
@@ -51,6 +51,8 @@
       max_file_descriptors: Limit of open file descriptors.
       cpu_cores: CPU capacity of the VM, in cores of normal speed.
       bounds: Limits that the deployment guarantees.
+      min_pause_objective_seconds: Shortest objective for pauses between events from which on a
+        stream counts as one that shares scarce endpoints.
     """
 
     name: str
@@ -68,6 +70,7 @@
     cpu_cores: float = 1.0
     bounds: Bounds = Bounds()
     advertised_peer_address: str = ""
+    min_pause_objective_seconds: float = 0.35
 
     @property
     def reachable_address(self) -> str:
--- a/bronzemux/platform/documents.py
+++ b/bronzemux/platform/documents.py
@@ -101,6 +101,7 @@
         priority=fields.integer(item, "priority", 5),
         is_anonymous=fields.flag(item, "anonymous", False),
         is_resumable=fields.flag(item, "resumable", False),
+        pause_objective_seconds=fields.number(item, "target_gap_ms", 0.0) / 1000,
     )
 
 
