Keep small requests out of the queue of the large ones

Change: requests of up to 2,048 prompt tokens wait for a slot and memory only. Streams have to be sent two objectives, no longer one, before their caller leaves: of those sent later many did not begin in time (first event after the send at the median 0.54 s, p90 1.40 s, objective 0.635 s).

--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -271,7 +271,8 @@
                 job.waited_seconds += now - started_at
                 if is_ordered and has_waited:
                     job.has_awaited_room = True
-                    self.components.wait_queue.record_grant(job.service, now)
+                    if not self._demand(job, now).is_small:
+                        self.components.wait_queue.record_grant(job.service, now)
                 return choice
             if not any(self.components.cluster_state.endpoints.of_service(job.service)):
                 raise failures.RefusedError(
@@ -319,10 +320,15 @@
           failures.RefusedError: When that is so.
         """
         route, queue = job.route, self.components.wait_queue
-        within = shortage.start_within(route.objective_seconds, route.pause_objective_seconds)
-        start_by = min(job.arrived_at + within, job.deadline_at - route.objective_seconds)
-        place = queue.place(job.service, job.urgency, job.arrived_at)
-        interval = queue.grant_interval(job.service)
+        start_by = job.arrived_at + shortage.start_within(
+            route.objective_seconds,
+            route.pause_objective_seconds,
+            job.deadline_at - job.arrived_at,
+        )
+        place, interval = 0, None
+        if not self._demand(job, now).is_small:
+            place = queue.place(job.service, job.urgency, job.arrived_at)
+            interval = queue.grant_interval(job.service)
         action = shortage.decide(start_by - now, place, interval)
         if action is shortage.Action.WAIT:
             return
@@ -348,20 +354,24 @@
         )
         raise failures.RefusedError(503, "no endpoint has room in time", "retry later", retry_after)
 
-    def _with_room(self, job: jobs.Job, states: list, now: float) -> list:
-        """Return those of some endpoints that have room for a request, by the load of all routers.
-
-        A request does not pass those that wait before it in this router, unless it is small.
-        """
+    def _demand(self, job: jobs.Job, now: float) -> shortage.Demand:
+        """Return what a request needs of an engine."""
         prompt = job.request.prompt
-        engine = self.components.cluster_state.configuration.services[job.service].engine
-        demand = shortage.Demand(
+        return shortage.Demand(
             job.urgency,
             now - job.arrived_at,
             job.route.objective_seconds,
             prompt.tokens,
             prompt.memory_tokens,
         )
+
+    def _with_room(self, job: jobs.Job, states: list, now: float) -> list:
+        """Return those of some endpoints that have room for a request, by the load of all routers.
+
+        A request does not pass those that wait before it in this router, unless it is small.
+        """
+        engine = self.components.cluster_state.configuration.services[job.service].engine
+        demand = self._demand(job, now)
         queue = self.components.wait_queue
         if not demand.is_small and queue.place(job.service, job.urgency, job.arrived_at):
             return []
--- a/bronzemux/gateway/shortage.py
+++ b/bronzemux/gateway/shortage.py
@@ -18,17 +18,14 @@
 # that each less urgent level leaves to those above it. The rest allows for what other routers have
 # just sent there.
 MAX_MEMORY_FRACTION = 0.95
-MEMORY_FRACTION_PER_LEVEL = 0.025
+MEMORY_FRACTION_PER_LEVEL = 0.05
 # Levels below the most urgent one that leave memory to others.
-MAX_LEVELS = 6
+MAX_LEVELS = 3
 # Prompt tokens that may wait to be read at an endpoint, in objectives of the request to be sent.
 MAX_BACKLOG_OBJECTIVES = 1.0
 # Length of a prompt up to which a request is small: engines read prompts in pieces of about this
 # many tokens, so that it delays others, and is delayed by them, for one piece.
 SMALL_PROMPT_TOKENS = 2048
-# Requests at an endpoint up to which it takes small ones, as a multiple of its slots: engines admit
-# the more urgent first.
-SMALL_REQUESTS_PER_SLOT = 1.25
 # Time until the routers know of each other's requests: a status message through a relay.
 UNSEEN_SECONDS = 0.4
 # Most of what is on its way to one endpoint, as a multiple of an equal share of the open ones:
@@ -41,6 +38,9 @@
 PATIENCE_SECONDS = 2.0
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_PAUSE_OBJECTIVES = 8.0
+# Objectives that are left to the endpoint until the caller abandons the stream, or its deadline
+# passes.
+START_OBJECTIVES = 2.0
 # A prediction must exceed the time that is left by this factor before a request is refused for it.
 PREDICTION_MARGIN = 1.5
 # Weight of the newest interval between two grants.
@@ -122,8 +122,7 @@
     """
     if not room.requests and not room.memory:
         return True
-    max_requests = room.slots * (SMALL_REQUESTS_PER_SLOT if demand.is_small else 1.0)
-    if room.requests >= max_requests:
+    if room.requests >= room.slots:
         return False
     if room.memory + demand.memory_tokens > memory_fraction(demand) * room.cache_tokens:
         return False
@@ -177,21 +176,22 @@
     return int.from_bytes(digest, "big") < probability * 2**64
 
 
-def start_within(objective_seconds: float, pause_objective_seconds: float) -> float:
+def start_within(
+    objective_seconds: float, pause_objective_seconds: float, deadline_seconds: float
+) -> float:
     """Return the seconds after its arrival within which a stream has to be sent to an endpoint.
 
-    One objective is left for the endpoint until the caller would abandon the stream.
-
     Args:
       objective_seconds: Objective for its first event.
       pause_objective_seconds: Objective for the pauses between its events.
+      deadline_seconds: Time from its arrival to its deadline.
     """
     patience = max(
         PATIENCE_SECONDS,
         PATIENCE_OBJECTIVES * objective_seconds,
         PATIENCE_PAUSE_OBJECTIVES * pause_objective_seconds,
     )
-    return patience - objective_seconds
+    return min(patience, deadline_seconds) - START_OBJECTIVES * objective_seconds
 
 
 def decide(seconds_left: float, place: int, interval_seconds: float | None) -> Action:
--- a/features/shortage.feature
+++ b/features/shortage.feature
@@ -18,8 +18,8 @@
       | 8        | 85000  | 0       | 5000   | 9      | has no  |
       | 16       | 40000  | 0       | 5000   | 9      | has no  |
       | 8        | 82000  | 9       | 800    | 0      | has     |
-      | 16       | 82000  | 9       | 800    | 0      | has     |
-      | 20       | 40000  | 0       | 800    | 9      | has no  |
+      | 15       | 82000  | 9       | 800    | 0      | has     |
+      | 16       | 40000  | 0       | 800    | 9      | has no  |
       | 8        | 89000  | 0       | 800    | 9      | has no  |
 
   Scenario Outline: Load pattern "long prompts beside short ones": only long ones await a backlog
@@ -65,6 +65,17 @@
       | 3     | 2.0  | 0.9      | REFUSE_PREDICTED | 1.6   |
       | 0     | 0.0  | 0.1      | REFUSE_LATE      | 0.1   |
 
+  Scenario Outline: A stream is sent early enough for its caller to await its first event
+    Given objectives of <objective> seconds for the first event and <pause> for pauses
+    Then a stream with a deadline of <deadline> seconds has to be sent within <within> seconds
+
+    Examples:
+      | objective | pause | deadline | within |
+      | 0.6       | 0.4   | 15.0     | 2.0    |
+      | 0.6       | 0.4   | 2.5      | 1.3    |
+      | 1.2       | 0.4   | 15.0     | 2.4    |
+      | 0.2       | 0.0   | 15.0     | 1.6    |
+
   # Guards against refusals by a prediction that nothing supports.
   Scenario: Failure "router that has just started": it refuses nothing by a prediction
     Given a queue that has sent 1 requests, one each 5 s
--- a/features/steps/shortage_steps.py
+++ b/features/steps/shortage_steps.py
@@ -107,6 +107,17 @@
     step_decide(context, place, left, context.rate.interval_seconds)
 
 
+@given("objectives of {objective:g} seconds for the first event and {pause:g} for pauses")
+def step_objectives(context, objective, pause):
+    context.objectives = (objective, pause)
+
+
+@then("a stream with a deadline of {deadline:g} seconds has to be sent within {within:g} seconds")
+def step_within(context, deadline, within):
+    found = shortage.start_within(*context.objectives, deadline)
+    assert abs(found - within) < 1e-6, found
+
+
 @then("the decision is {action}, with a retry after {seconds:g} seconds")
 def step_action(context, action, seconds):
     assert context.action is shortage.Action[action], context.action
