--- a/features/runner.py
+++ b/features/runner.py
@@ -4,6 +4,7 @@
 
 monkey.patch_all()
 
+import itertools
 import logging
 import pathlib
 import re
@@ -32,6 +33,8 @@
     "mesh",
     "rollout",
 )
+# Run one by one after all others: they check the memory of processes under a load of their own.
+EXCLUSIVE_FEATURES = ("misbehaving_callers",)
 FAILED_STATUSES = frozenset(
     {model_type.Status.failed, model_type.Status.error, model_type.Status.undefined}
 )
@@ -113,6 +116,8 @@
 def run_all() -> tuple[int, int]:
     """Run all features, at most MAX_PROCESSES at a time, and print their output.
 
+    `EXCLUSIVE_FEATURES` run one by one after the others.
+
     Returns:
       The numbers of scenarios that passed and failed.
     """
@@ -125,10 +130,14 @@
         )
 
     features = sorted(ROOT.glob("*.feature"), key=sort_key)
+    shared = [feature for feature in features if feature.stem not in EXCLUSIVE_FEATURES]
+    exclusive = [feature for feature in features if feature.stem in EXCLUSIVE_FEATURES]
     passed, failed, summary = 0, 0, []
-    for output, feature_passed, feature_failed in gevent.pool.Pool(MAX_PROCESSES).imap_unordered(
-        run_in_subprocess, features
-    ):
+    results = itertools.chain(
+        gevent.pool.Pool(MAX_PROCESSES).imap_unordered(run_in_subprocess, shared),
+        map(run_in_subprocess, exclusive),
+    )
+    for output, feature_passed, feature_failed in results:
         print(output, flush=True)
         passed, failed = passed + feature_passed, failed + feature_failed
         summary += SUMMARY_PATTERN.findall(output)
