Give other connections turns between short chunks and requests ahead

Cause: a connection whose next bytes have already arrived never lets other greenlets run: 64 KiB of chunks of one byte, four times in a row, and every request that was sent ahead, were processed in one turn of the event loop. 48 such callers kept ordinary ones without an answer for 30 s.

Change: a body lets others run after 64 chunks, and a connection after each request when the next one has arrived. Ordinary callers do neither, so nothing changes for them.

--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -26,6 +26,8 @@
 MAX_TRAILER_BYTES = 8192
 # After so many bytes without a wait, a greenlet lets the others run.
 BYTES_PER_TURN = 256 * 1024
+# The same for chunks, as short ones cost more time than their bytes.
+CHUNKS_PER_TURN = 64
 # Most bytes that a socket holds after a pause of the process; they are read although the time for
 # them has passed.
 MAX_LATE_BYTES = 8 * 1024 * 1024
@@ -386,10 +388,14 @@
             yield data
 
     def _iter_chunks(self) -> Iterator[bytes]:
+        chunks = 0
         while size := self._read_chunk_size():
             yield from self._iter_counted(size)
             if self._read_line():
                 raise FramingError("a chunk is longer than its declared size", "check the sender")
+            chunks += 1
+            if chunks % CHUNKS_PER_TURN == 0:
+                gevent.sleep(0)
         trailer_bytes = 0
         while line := self._read_line():
             trailer_bytes += len(line)
--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -194,7 +194,9 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while self._serve_next(channel):
-                continue
+                # Requests sent ahead on one connection leave time for those on others.
+                if channel.buffer:
+                    gevent.sleep(0)
         except failures.CallerLeftError:
             pass
         except http1.EndOfStreamError as error:
