Bound the connections of callers, and keep sockets for endpoints and peers

Change: connection_limit shares the sockets of a process: an eighth, at least 16, for peers, the store and the listening sockets, half of the rest for callers and for endpoints each. Without room, the connection that is idle for longest is closed, unless a request has just arrived on it; then the incomplete request that has received least is refused with 503; a new connection is refused only if all others are being served. The pool closes the idle connections that expire first. At most 8 connections are accepted before the first of them is served. The settings have the sockets that the platform leaves to a process, `max_fds` less 200, instead of a limit of descriptors that nothing used.

--- a/bronzemux/gateway/channels.py
+++ b/bronzemux/gateway/channels.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import socket
+import weakref
 
 from bronzemux import clock as clocks
 from bronzemux.gateway import http1
@@ -87,14 +88,19 @@
     Args:
       clock: Source of time.
       memory_bytes: Memory of the VM, 0 when it is not known.
+      max_channels: Connections above which idle ones are closed, 0 for no limit.
 
     Attributes:
       responses: Memory for the responses that are read from the connections.
+      open_channels: Connections, some of which may have been closed.
     """
 
-    def __init__(self, clock: clocks.Clock, memory_bytes: int = 0):
+    def __init__(self, clock: clocks.Clock, memory_bytes: int = 0, max_channels: int = 0):
         self.clock = clock
         self.responses = ResponseBudget(memory_bytes)
+        self.max_channels = max_channels
+        self.open_channels: weakref.WeakSet[http1.Channel] = weakref.WeakSet()
+        self.opening = 0
         self.idle: dict[str, list[IdleChannel]] = {}
         self.opened_count = 0
 
@@ -117,11 +123,31 @@
         Raises:
           OSError: When the connection is not established in time.
         """
+        if self.max_channels and len(self.open_channels) + self.opening >= self.max_channels:
+            self._make_room()
         host, _, port = address.rpartition(":")
-        sock = socket.create_connection((host, int(port)), CONNECT_SECONDS)
+        self.opening += 1
+        try:
+            sock = socket.create_connection((host, int(port)), CONNECT_SECONDS)
+        finally:
+            self.opening -= 1
         self.opened_count += 1
         configure_socket(sock)
-        return http1.Channel(sock)
+        channel = http1.Channel(sock)
+        self.open_channels.add(channel)
+        return channel
+
+    def _make_room(self) -> None:
+        """Close the idle connections that expire first until there is room for another one."""
+        for channel in [found for found in self.open_channels if found.sock.fileno() < 0]:
+            self.open_channels.discard(channel)
+        idle = [(entry, entries) for entries in self.idle.values() for entry in entries]
+        idle.sort(key=lambda item: item[0].expires_at)
+        excess = len(self.open_channels) + self.opening + 1 - self.max_channels
+        for entry, entries in idle[: max(0, excess)]:
+            entries.remove(entry)
+            entry.channel.close()
+            self.open_channels.discard(entry.channel)
 
     def release(self, incarnation: str, channel: http1.Channel, idle_seconds: float | None) -> None:
         """Return a connection to the pool, or close it if it can't carry another request.
--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -15,6 +15,7 @@
     cache_store_watcher,
     channels,
     cluster_state,
+    connection_limit,
     continuation,
     crash_attribution,
     directory,
@@ -214,12 +215,13 @@
         self.software_history = history = software_history.SoftwareHistory(
             clock, self.cluster_state
         )
+        limit = connection_limit.ConnectionLimit(config.max_sockets)
         components = jobs.Components(
             config,
             clock,
             platform.protocol,
             self.cluster_state,
-            channels.ChannelPool(clock, config.memory_bytes),
+            channels.ChannelPool(clock, config.memory_bytes, limit.max_endpoint_channels),
             probes,
             budget.ServiceRetryBudget(config.bounds),
             wait_queue,
@@ -234,7 +236,7 @@
         )
         self.components = components
         self.forwarder = forwarder.Forwarder(components, self._router_count)
-        self.ingress = ingress.Ingress(config.ingress_address, self.forwarder, clock)
+        self.ingress = ingress.Ingress(config.ingress_address, self.forwarder, clock, limit)
         self.weights_tracker = weights.WeightsTracker(self.endpoints, clock)
         self.weights_tracker.on_change.append(components.wait_queue.wake)
         self.cluster_state.on_change.append(components.wait_queue.wake)
@@ -410,6 +412,21 @@
         self.meters.config_age.set(self.cluster_state.age())
         self.meters.in_flight.set(self.ingress.in_flight)
         self.meters.caller_bytes.set(self.ingress.memory.held_bytes)
+        self._report_closed_connections()
+
+    def _report_closed_connections(self) -> None:
+        limit = self.ingress.connections
+        closed = limit.pop_closed()
+        for state, count in closed.items():
+            self.meters.caller_connections_closed.labels(state).inc(count)
+        if closed:
+            logs.event(
+                "caller_connections_closed",
+                "warning",
+                open=len(limit.connections),
+                limit=limit.max_connections,
+                **closed,
+            )
         self.meters.connections.set(self.components.pool.opened_count)
 
     def expose(self) -> bytes:
--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -8,12 +8,22 @@
 import gevent.server
 
 from bronzemux import clock as clocks
-from bronzemux import errors, http_server, interruption, logs
-from bronzemux.gateway import admission, failures, forwarder, http1, memory_budget, model
+from bronzemux import errors, http_client, http_server, interruption, logs
+from bronzemux.gateway import (
+    admission,
+    connection_limit,
+    failures,
+    forwarder,
+    http1,
+    memory_budget,
+    model,
+)
 from bronzemux.gateway import job as jobs
 
 # Enough for all callers of a data centre, which connect at the same time after a restart.
 LISTEN_BACKLOG = 1024
+# Connections that are accepted before the first of them is served or makes room.
+ACCEPTED_AT_ONCE = 8
 # A caller may take this multiple of the idle timeout to send a body.
 BODY_IDLE_TIMEOUTS = 2.0
 # A caller that reads nothing for this long is disconnected; callers abandon a stream sooner.
@@ -135,18 +145,22 @@
 
 
 class RequestReading:
-    """Reading of the requests on one connection, within the memory of all.
+    """Reading of the requests on one connection, within the memory and the connections of all.
 
     Args:
       budget: Memory for the requests of all callers.
+      sock: The connection.
 
     Attributes:
+      connection: The connection among those of all callers, None until there is room for it.
       holding: What it holds of the budget.
       base_bytes: Bytes of the head and its decoded form, while the body is read.
     """
 
-    def __init__(self, budget: memory_budget.MemoryBudget):
+    def __init__(self, budget: memory_budget.MemoryBudget, sock: socket.socket):
         self.budget = budget
+        self.sock = sock
+        self.connection: connection_limit.Connection | None = None
         self.holding = budget.open(self._refuse)
         self.scope = interruption.Scope()
         self.base_bytes = 0
@@ -179,6 +193,7 @@
           failures.RefusedError: When the budget is spent and this request is refused.
         """
         count += self.base_bytes
+        self.connection.received_bytes = count
         if count < self.holding.held_bytes + BUDGET_STEP_BYTES:
             return
         while not self.budget.resize(self.holding, count):
@@ -197,6 +212,16 @@
     def _refuse(self) -> None:
         self.scope.interrupt(spent_error())
 
+    def make_room(self) -> bool:
+        """Close the connection, or refuse its incomplete request; return whether it is closed."""
+        if self.connection.stage is connection_limit.Stage.READING:
+            self.scope.interrupt(crowded_error())
+            return True
+        if not http_client.is_open_and_idle(self.sock):
+            return False
+        http_server.shutdown_socket(self.sock)
+        return True
+
 
 def spent_error() -> failures.RefusedError:
     """Return the error for a request that takes most of the memory, which is spent."""
@@ -208,6 +233,16 @@
     )
 
 
+def crowded_error() -> failures.RefusedError:
+    """Return the error for a request on a connection that makes room, or finds none."""
+    return failures.RefusedError(
+        503,
+        "too many connections are open",
+        "send the request again",
+        admission.RETRY_AFTER_SECONDS,
+    )
+
+
 class Ingress:
     """HTTP server that accepts the requests of callers.
 
@@ -220,19 +255,28 @@
       idle_channels: Connections that wait for their next request.
       scopes: Scopes of the requests in flight.
       memory: Memory for the requests of all callers.
+      connections: Connections of all callers.
 
     Args:
       address: IP address and port to listen on.
       request_forwarder: Forwards admitted requests to endpoints.
       clock: Source of time.
+      connections: Limit on the connections of callers.
     """
 
-    def __init__(self, address: str, request_forwarder: forwarder.Forwarder, clock: clocks.Clock):
+    def __init__(
+        self,
+        address: str,
+        request_forwarder: forwarder.Forwarder,
+        clock: clocks.Clock,
+        connections: connection_limit.ConnectionLimit,
+    ):
         self.forwarder = request_forwarder
         self.admission = admission.Admission(request_forwarder.components)
         request_forwarder.shutdown = lambda: self.admission.shutdown
         self.protocol = request_forwarder.components.protocol
         self.clock = clock
+        self.connections = connections
         self.repeat_filter = logs.RepeatFilter(clock)
         self.is_stopping = False
         self.is_accepting = True
@@ -246,6 +290,7 @@
         self.server = gevent.server.StreamServer(
             (host, int(port)), self._serve_connection, backlog=LISTEN_BACKLOG
         )
+        self.server.max_accept = ACCEPTED_AT_ONCE
 
     def start(self) -> None:
         """Start accepting connections."""
@@ -272,8 +317,12 @@
     def _serve_connection(self, sock, address) -> None:
         channel = http1.Channel(sock)
         self.open_channels.add(channel)
-        reading = RequestReading(self.memory)
+        reading = RequestReading(self.memory, sock)
+        reading.connection = self.connections.open(reading.make_room, self.clock.monotonic())
         try:
+            if reading.connection is None:
+                self._refuse_incomplete(CallerConnection(channel, self.protocol), crowded_error())
+                return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while self._serve_next(channel, reading):
                 # Requests sent ahead on one connection leave time for those on others.
@@ -291,6 +340,7 @@
             self.open_channels.discard(channel)
             self.idle_channels.discard(channel)
             reading.close()
+            self.connections.remove(reading.connection)
             channel.close()
 
     def _limits(self) -> model.CallerLimits:
@@ -300,11 +350,13 @@
     def _serve_next(self, channel: http1.Channel, reading: RequestReading) -> bool:
         """Serve one request; return whether the connection can carry another."""
         caller = CallerConnection(channel, self.protocol, lambda: self.is_stopping)
+        reading.connection.enter(connection_limit.Stage.IDLE, self.clock.monotonic())
         if not channel.buffer and not self._wait_for_request(channel):
             return False
         limits = self._limits()
         arrived_at = self.clock.monotonic()
         request = refusal = None
+        reading.connection.enter(connection_limit.Stage.READING, arrived_at)
         try:
             with reading.request():
                 request = self._read_request(channel, limits, reading)
@@ -336,6 +388,7 @@
             return False
         if request is None:
             return False
+        reading.connection.enter(connection_limit.Stage.SERVING, arrived_at)
         try:
             return self._serve_request(channel, caller, *request, arrived_at)
         finally:
--- a/bronzemux/gateway/meters.py
+++ b/bronzemux/gateway/meters.py
@@ -26,6 +26,9 @@
         self.caller_refusals = self._counter(
             "caller_refusals", "Incomplete requests refused, by reason", "reason"
         )
+        self.caller_connections_closed = self._counter(
+            "caller_connections_closed", "Connections closed for lack of room, by state", "state"
+        )
         self.caller_bytes = self._gauge(
             "caller_request_bytes", "Bytes held for the requests of callers"
         )
--- a/bronzemux/gateway/settings.py
+++ b/bronzemux/gateway/settings.py
@@ -48,7 +48,7 @@
       seeds: Peer addresses of a few routers to contact first; some may no longer exist.
       store_address: Address of the platform's store.
       memory_bytes: Memory limit of the process, 0 when it is unknown.
-      max_file_descriptors: Limit of open file descriptors.
+      max_sockets: Sockets and pipes that the process may open.
       cpu_cores: CPU capacity of the VM, in cores of normal speed.
       bounds: Limits that the deployment guarantees.
     """
@@ -64,7 +64,7 @@
     metrics_port: int = 0
     seeds: tuple[str, ...] = ()
     memory_bytes: int = 0
-    max_file_descriptors: int = 1024
+    max_sockets: int = 1024
     cpu_cores: float = 1.0
     bounds: Bounds = Bounds()
     advertised_peer_address: str = ""
--- a/bronzemux/platform/boot.py
+++ b/bronzemux/platform/boot.py
@@ -12,6 +12,9 @@
 from bronzemux.platform import fields
 
 PATH_VARIABLE = "BRONZEMUX_BOOT"
+# Of `max_fds`, sockets and pipes share what is left.
+FILE_DESCRIPTORS_FOR_FILES = 200
+MIN_SOCKETS = 64
 
 
 def path() -> pathlib.Path:
@@ -67,7 +70,9 @@
         seeds=tuple(s for s in fields.items(document, "seeds", []) if isinstance(s, str)),
         store_address=fields.address(store, "address"),
         memory_bytes=int(fields.number(limits, "memory_mb", 0.0) * 1_000_000),
-        max_file_descriptors=fields.integer(limits, "max_fds", 1024),
+        max_sockets=max(
+            MIN_SOCKETS, fields.integer(limits, "max_fds", 1024) - FILE_DESCRIPTORS_FOR_FILES
+        ),
         # `cpu_share` is a fraction of a core, `cores` the speed of that core.
         cpu_cores=fields.number(limits, "cpu_share", 1.0) * fields.number(limits, "cores", 1.0),
         bounds=_bounds(bounds),
