Read no bodies at the management pages, and count their connections

Cause: readiness, the directory and the metrics were served without bounds. The server read and dropped every body, in chunks of one byte without letting others run, answered requests ahead in one turn, kept idle connections for 75 s without a limit, and the sockets held megabytes of unread bytes each.

Change: management_server answers a request with a body and closes its connection without reading it, bounds a head to 64 KiB and the unread bytes of a socket to 16 KiB, lets other connections run between two requests, and counts its connections among those of all callers.

--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -7,7 +7,7 @@
 import gevent.event
 
 from bronzemux import clock as clocks
-from bronzemux import errors, http_server, lease, logs, quarantine, records, supervisor, table
+from bronzemux import errors, lease, logs, quarantine, records, supervisor, table
 from bronzemux.gateway import (
     admission,
     budget,
@@ -25,6 +25,7 @@
     forwarder,
     gossip,
     ingress,
+    management_server,
     meters,
     model,
     orders,
@@ -243,7 +244,7 @@
         self.cluster_state.on_change.append(self.check_ready)
         self.cluster_state.on_restore.append(platform.table.record_era)
         self.supervisor = supervisor.Supervisor("gateway", clock)
-        self.admin_servers: list[http_server.Server] = []
+        self.admin_servers: list[management_server.Server] = []
         self.registration = Registration(self)
         self.peering = peering.Peering(config, self.forwarder, self.weights_tracker, self.routers)
         self.peering.watched_store = self._cache_store
@@ -381,7 +382,9 @@
             addresses.add(f"{host}:{self.settings.metrics_port}")
         for address in addresses:
             host, _, port = address.rpartition(":")
-            server = http_server.Server((host, int(port)), pages)
+            server = management_server.Server(
+                (host, int(port)), pages, self.ingress.connections, self.clock
+            )
             server.start()
             self.admin_servers.append(server)
 
--- a/bronzemux/http_server.py
+++ b/bronzemux/http_server.py
@@ -130,8 +130,10 @@
 class Handler(pywsgi.WSGIHandler):
     """Handler of one connection that enforces the timeouts of its server."""
 
+    reader_class = SocketReader
+
     def __init__(self, sock, address, server):
-        self.reader = SocketReader(sock)
+        self.reader = self.reader_class(sock)
         super().__init__(sock, address, server, io.BufferedReader(self.reader))
 
     def read_requestline(self):
