Close a connection that made room although its request became complete

The interruption of a request that is read comes in the next iteration of the event loop and is dropped when the request is complete by then. Its connection no longer counted among those of callers, and could stay open.

--- a/bronzemux/gateway/connection_limit.py
+++ b/bronzemux/gateway/connection_limit.py
@@ -85,6 +85,10 @@
         self.connections[connection] = None
         return connection
 
+    def has(self, connection: Connection) -> bool:
+        """Return whether a connection is open and has not made room for another one."""
+        return connection in self.connections
+
     def remove(self, connection: Connection | None) -> None:
         """Record that a connection is closed; None is one that found no room."""
         self.connections.pop(connection, None)
--- a/bronzemux/gateway/ingress.py
+++ b/bronzemux/gateway/ingress.py
@@ -324,7 +324,8 @@
                 self._refuse_incomplete(CallerConnection(channel, self.protocol), crowded_error())
                 return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            while self._serve_next(channel, reading):
+            # A request may have become complete while its connection made room for another one.
+            while self._serve_next(channel, reading) and self.connections.has(reading.connection):
                 # Requests sent ahead on one connection leave time for those on others.
                 if channel.buffer:
                     gevent.sleep(0)
