--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -7,7 +7,7 @@
 import gevent.event
 
 from bronzemux import clock as clocks
-from bronzemux import errors, http_server, lease, logs, quarantine, records, supervisor, table
+from bronzemux import errors, lease, logs, quarantine, records, supervisor, table
 from bronzemux.gateway import (
     admission,
     budget,
@@ -15,6 +15,7 @@
     cache_store_watcher,
     channels,
     cluster_state,
+    connection_limit,
     continuation,
     crash_attribution,
     directory,
@@ -24,6 +25,7 @@
     forwarder,
     gossip,
     ingress,
+    management_server,
     meters,
     model,
     orders,
@@ -215,12 +217,13 @@
         self.software_history = history = software_history.SoftwareHistory(
             clock, self.cluster_state
         )
+        limit = connection_limit.ConnectionLimit(config.max_sockets)
         components = jobs.Components(
             config,
             clock,
             platform.protocol,
             self.cluster_state,
-            channels.ChannelPool(clock, config.memory_bytes),
+            channels.ChannelPool(clock, config.memory_bytes, limit.max_endpoint_channels),
             probes,
             budget.ServiceRetryBudget(config.bounds),
             wait_queue,
@@ -236,14 +239,14 @@
         )
         self.components = components
         self.forwarder = forwarder.Forwarder(components, self._router_count)
-        self.ingress = ingress.Ingress(config.ingress_address, self.forwarder, clock)
+        self.ingress = ingress.Ingress(config.ingress_address, self.forwarder, clock, limit)
         self.weights_tracker = weights.WeightsTracker(self.endpoints, clock)
         self.weights_tracker.on_change.append(components.wait_queue.wake)
         self.cluster_state.on_change.append(components.wait_queue.wake)
         self.cluster_state.on_change.append(self.check_ready)
         self.cluster_state.on_restore.append(platform.table.record_era)
         self.supervisor = supervisor.Supervisor("gateway", clock)
-        self.admin_servers: list[http_server.Server] = []
+        self.admin_servers: list[management_server.Server] = []
         self.registration = Registration(self)
         self.peering = peering.Peering(config, self.forwarder, self.weights_tracker, self.routers)
         self.peering.watched_store = self._cache_store
@@ -381,7 +384,9 @@
             addresses.add(f"{host}:{self.settings.metrics_port}")
         for address in addresses:
             host, _, port = address.rpartition(":")
-            server = http_server.Server((host, int(port)), pages)
+            server = management_server.Server(
+                (host, int(port)), pages, self.ingress.connections, self.clock
+            )
             server.start()
             self.admin_servers.append(server)
 
@@ -411,6 +416,22 @@
         self.meters.config_version.set(config.version if config else 0)
         self.meters.config_age.set(self.cluster_state.age())
         self.meters.in_flight.set(self.ingress.in_flight)
+        self.meters.caller_bytes.set(self.ingress.memory.held_bytes)
+        self._report_closed_connections()
+
+    def _report_closed_connections(self) -> None:
+        limit = self.ingress.connections
+        closed = limit.pop_closed()
+        for state, count in closed.items():
+            self.meters.caller_connections_closed.labels(state).inc(count)
+        if closed:
+            logs.event(
+                "caller_connections_closed",
+                "warning",
+                open=len(limit.connections),
+                limit=limit.max_connections,
+                **closed,
+            )
         self.meters.connections.set(self.components.pool.opened_count)
 
     def expose(self) -> bytes:
--- a/bronzemux/gateway/meters.py
+++ b/bronzemux/gateway/meters.py
@@ -29,6 +29,15 @@
         self.late_starts = self._counter(
             "late_starts", "Streams that waited for room and began late", "service"
         )
+        self.caller_refusals = self._counter(
+            "caller_refusals", "Incomplete requests refused, by reason", "reason"
+        )
+        self.caller_connections_closed = self._counter(
+            "caller_connections_closed", "Connections closed for lack of room, by state", "state"
+        )
+        self.caller_bytes = self._gauge(
+            "caller_request_bytes", "Bytes held for the requests of callers"
+        )
         self.notices = self._counter(
             "endpoint_notices", "Announcements and pauses that endpoints asked for", "kind"
         )
