--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -46,12 +46,14 @@
       tokens: Prompt tokens of these requests that the endpoint has not prefilled yet.
       failures: Recent failures, decayed.
       memory: Most tokens of KV memory that the requests, and KV backups of requests, can take.
+      writers: Those requests that mostly write, where services are placed by it.
     """
 
     requests: int = 0
     tokens: float = 0.0
     failures: float = 0.0
     memory: int = 0
+    writers: int = 0
 
 
 # Source of a load that covers all routers, this one included.
@@ -120,6 +122,7 @@
       backlog_tokens: Prompt tokens of this gateway that the endpoint has not prefilled yet.
       memory_tokens: Most tokens of KV memory that this gateway's requests, and KV backups of its
         requests, can take there.
+      writers: Requests of this gateway there that mostly write; see `grouping`.
       latency_seconds: Moving average of the response time, for services without an engine.
       slowdown: Moving average of the ratio of observed to expected time to the first event, for
         engines.
@@ -144,6 +147,7 @@
         written before; the next one cannot have been.
       cached_peer_load: Sum of the loads of other gateways when it was last computed, None before.
       hash_name: The incarnation as input of rendezvous hashing.
+      group_rank: Sort key made by `grouping.group_rank`, empty before it is needed.
       notices: What the endpoint has asked of this router.
     """
 
@@ -151,6 +155,7 @@
     in_flight: int = 0
     backlog_tokens: float = 0.0
     memory_tokens: int = 0
+    writers: int = 0
     latency_seconds: float | None = None
     slowdown: float = 1.0
     failures: float = 0.0
@@ -170,6 +175,7 @@
     has_later_entry: bool = False
     cached_peer_load: CachedPeerLoad | None = None
     hash_name: bytes = b""
+    group_rank: bytes = b""
     notices: endpoint_notices.Notices = dataclasses.field(default_factory=endpoint_notices.Notices)
 
     def __post_init__(self):
@@ -223,7 +229,9 @@
     def own_load(self, now: float) -> EndpointLoad:
         """Return the load of this gateway."""
         failures = self._own_failures(now)
-        return EndpointLoad(self.in_flight, self.backlog_tokens, failures, self.memory_tokens)
+        return EndpointLoad(
+            self.in_flight, self.backlog_tokens, failures, self.memory_tokens, self.writers
+        )
 
     def load(self, now: float) -> tuple[int, float]:
         """Return the requests in flight and the prompt tokens to prefill, of all gateways."""
@@ -238,8 +246,8 @@
         """Return the load of all gateways."""
         return self._sum_fresh(self.own_load(now), now, includes_remote=True)
 
-    def all_loads(self, now: float) -> tuple[int, float, float, int]:
-        """Return requests, prompt tokens to prefill, failures and memory of all gateways.
+    def all_loads(self, now: float) -> tuple[int, float, float, int, int]:
+        """Return requests, prompt tokens to prefill, failures, memory and writers of all gateways.
 
         These are the fields of `EndpointLoad`, in its order.
         """
@@ -249,6 +257,7 @@
             self.backlog_tokens + peers.tokens,
             (self._own_failures(now) if self.failures else 0.0) + peers.failures,
             self.memory_tokens + peers.memory,
+            self.writers + peers.writers,
         )
 
     def _peer_load(self, now: float) -> EndpointLoad:
@@ -282,13 +291,14 @@
             max(0.0, load.tokens - own.tokens),
             max(0.0, load.failures - own.failures),
             max(0, load.memory - own.memory),
+            max(0, load.writers - own.writers),
         )
         return CachedPeerLoad(others, generation, own, reported_at + PEER_LOAD_TTL_SECONDS)
 
     def _sum_fresh(self, first: EndpointLoad, now: float, includes_remote: bool) -> EndpointLoad:
         """Return the sum of a load and those that have not expired, without the total of all."""
         requests, tokens = first.requests, first.tokens
-        failures, memory = first.failures, first.memory
+        failures, memory, writers = first.failures, first.memory, first.writers
         for source, (load, at) in self.peer_loads.items():
             if now - at >= PEER_LOAD_TTL_SECONDS or source is ALL_ROUTERS:
                 continue
@@ -297,7 +307,8 @@
                 tokens += load.tokens
                 failures += load.failures
                 memory += load.memory
-        return EndpointLoad(requests, tokens, failures, memory)
+                writers += load.writers
+        return EndpointLoad(requests, tokens, failures, memory, writers)
 
     def _own_failures(self, now: float) -> float:
         """Return the decayed number of failures of this gateway there."""
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -11,6 +11,7 @@
     endpoints,
     exchange,
     failures,
+    grouping,
     http1,
     model,
     placement,
@@ -394,12 +395,37 @@
             max_memory_tokens=(
                 int(service.engine.cache_tokens * MAX_MEMORY_FRACTION) if has_memory_limit else 0
             ),
+            tokens_per_event=self._tokens_per_event(service),
         )
         choices = (
             placement.choose_engine(s, requirements, view, now) for s in self._isolate(job, states)
         )
         return next(filter(None, choices), None)
 
+    def _tokens_per_event(self, service: model.Service | None) -> int:
+        """Return the tokens in one event, 0 where requests are not placed by what they cost others.
+
+        Args:
+          service: A service, None for an unknown one.
+        """
+        if service is None or service.engine is None:
+            return 0
+        least = self.components.settings.min_pause_objective_seconds
+        config = self.components.cluster_state.configuration
+        longest = config.pause_objectives.get(service.name, 0.0)
+        return service.engine.tokens_per_event if longest >= least else 0
+
+    def _is_writer(self, job: jobs.Job) -> bool:
+        """Return whether a request counts as one that mostly writes."""
+        services = self.components.cluster_state.configuration.services
+        tokens_per_event = self._tokens_per_event(services.get(job.service))
+        prompt = job.request.prompt
+        return (
+            prompt is not None
+            and tokens_per_event > 0
+            and grouping.is_writer(prompt, tokens_per_event)
+        )
+
     def _isolate(self, job: jobs.Job, states: list) -> list[list]:
         """Return the lists of endpoints among which one is chosen, the preferred list first.
 
@@ -441,7 +467,9 @@
         prompt = job.request.prompt
         memory = prompt.memory_tokens if prompt is not None else 0
         reserved = [state] if choice.backup is None else [state, choice.backup]
+        is_writer = self._is_writer(job)
         state.in_flight += 1
+        state.writers += is_writer
         self.in_flight += 1
         job.sent_at = self.clock.monotonic()
         if self.in_flight == 1:
@@ -464,6 +492,7 @@
         finally:
             attempt.release_suspect()
             state.in_flight -= 1
+            state.writers -= is_writer
             self.in_flight -= 1
             for endpoint_state in reserved:
                 endpoint_state.memory_tokens -= memory
--- a/bronzemux/gateway/relaying.py
+++ b/bronzemux/gateway/relaying.py
@@ -107,7 +107,11 @@
         failure_hundredths = int(100 * load.failures)
         if load.requests or load.memory or failure_hundredths:
             tokens = int(load.tokens)
-            found.append(gossip.Load(key, load.requests, tokens, failure_hundredths, load.memory))
+            found.append(
+                gossip.Load(
+                    key, load.requests, tokens, failure_hundredths, load.memory, load.writers
+                )
+            )
     return tuple(found)
 
 
@@ -132,7 +136,9 @@
         load = loads.get(key)
         if load is not None:
             failures = load.failure_hundredths / 100
-            peer_load = endpoints.EndpointLoad(load.requests, load.tokens, failures, load.memory)
+            peer_load = endpoints.EndpointLoad(
+                load.requests, load.tokens, failures, load.memory, load.writers
+            )
             state.peer_loads[source] = (peer_load, now)
         elif source is endpoints.ALL_ROUTERS:
             # An absent entry means no load. Recording a load of zero keeps this router's own
