--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -260,6 +260,11 @@
             self.writers + peers.writers,
         )
 
+    def report_age(self, now: float) -> float:
+        """Return the age of the oldest report of other routers that counts, 0 without one."""
+        ages = [now - at for _, at in self.peer_loads.values() if now - at < PEER_LOAD_TTL_SECONDS]
+        return max(ages, default=0.0)
+
     def _peer_load(self, now: float) -> EndpointLoad:
         """Return the load of the other gateways."""
         cached = self.cached_peer_load
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -368,12 +368,17 @@
         first_event_timeout = self._response_timeout()
         # Time of the first bytes since the last event; before those the endpoint was silent.
         stalled_at = self.started_at
+        last_event_at: float | None = None
         for piece in self.channel.iter_body(framing):
             now = self.state.last_received_at = self.clock.monotonic()
             events = buffer.feed(piece)
             has_progress = not all(map(sse.is_comment, events))
             if has_progress:
                 stalled_at = None
+                if last_event_at is not None:
+                    pause = now - last_event_at
+                    self.job.longest_pause = max(self.job.longest_pause, pause)
+                last_event_at = now
             elif stalled_at is None:
                 stalled_at = now
             if has_progress and not self.has_begun:
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -529,9 +529,11 @@
             tokens=job.request.prompt.tokens if job.request.prompt else 0,
             prefix=self._prefix(job),
             fetch=choice.fetch_from if choice else "",
+            **_describe_inputs(choice),
             save=bool(choice and choice.save_to),
             waited=job.waited_seconds,
             first=(job.first_at - job.arrived_at) if job.first_at is not None else None,
+            pause=job.longest_pause,
             total=total,
             runs=job.executions,
             rejected=job.rejections,
@@ -545,3 +547,19 @@
         if prompt is None or choice is None or not choice.salt or not prompt.shared_parts:
             return ""
         return cache_index.prefix_keys(choice.salt, prompt.shared_parts)[-1][0].hex()[:8]
+
+
+def _describe_inputs(choice: placement.Choice | None) -> dict:
+    """Return the log fields about the requests beside which one was placed."""
+    inputs = choice.inputs if choice else None
+    if inputs is None:
+        return {}
+    return {
+        "writes": inputs.is_writing,
+        "group": inputs.group_size,
+        "preferred": inputs.is_preferred,
+        "beside": inputs.requests,
+        "writers": inputs.writers,
+        "backlog": int(inputs.backlog_tokens),
+        "age": inputs.age_seconds,
+    }
--- a/bronzemux/gateway/grouping.py
+++ b/bronzemux/gateway/grouping.py
@@ -20,7 +20,7 @@
 MIN_EVENTS_PER_STEP = 2.0
 # Fraction of the slots in the group that its streams take. The rest allows for loads that are a
 # status message old.
-SLOT_FRACTION = 0.5
+SLOT_FRACTION = 0.75
 # Cost of a stream at an endpoint outside the group, where prompts are read beside it: about half of
 # that of a late response.
 OUTSIDE_SECONDS = 0.3
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -55,6 +55,7 @@
       sent_at: Monotonic seconds at which the last attempt began.
       waited_seconds: Time spent waiting for an endpoint.
       first_at: Monotonic seconds of the first byte sent to the caller, None before that.
+      longest_pause: Longest time between two events of its stream, in seconds.
       choice: Endpoint of the last attempt, None before the first.
       used_channels: Connections on which the request was sent, or was about to be.
       failed_attempts: Endpoint and cause of each failed attempt, for the log.
@@ -77,6 +78,7 @@
     sent_at: float = 0.0
     waited_seconds: float = 0.0
     first_at: float | None = None
+    longest_pause: float = 0.0
     choice: placement.Choice | None = None
     used_channels: list[http1.Channel] = dataclasses.field(default_factory=list)
     failed_attempts: list[str] = dataclasses.field(default_factory=list)
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -65,6 +65,7 @@
       candidate_count: Endpoints that were eligible.
       backup: Endpoint that gets a backup of the request's KV cache, None for none.
       is_continuation: Whether the request continues from the KV backup that the endpoint has.
+      inputs: What the choice of its neighbours used, None where they are disregarded.
     """
 
     state: endpoints.EndpointState
@@ -78,6 +79,30 @@
     candidate_count: int = 0
     backup: endpoints.EndpointState | None = None
     is_continuation: bool = False
+    inputs: "Inputs | None" = None
+
+
+@records.record
+class Inputs:
+    """What was known of the chosen endpoint when requests are placed by their neighbours.
+
+    Attributes:
+      is_writing: Whether the request mostly writes.
+      group_size: Endpoints on which streams are gathered.
+      is_preferred: Whether the endpoint is on the request's side of the group.
+      requests: Requests at the endpoint.
+      backlog_tokens: Prompt tokens to be read there.
+      writers: Requests there that mostly write.
+      age_seconds: Age of the oldest report of other routers in these figures.
+    """
+
+    is_writing: bool
+    group_size: int
+    is_preferred: bool
+    requests: int
+    backlog_tokens: float
+    writers: int
+    age_seconds: float
 
 
 @records.record
@@ -225,6 +250,7 @@
         cached_tokens=best.cached_tokens,
         candidate_count=len(eligible),
         backup=backup,
+        inputs=_inputs(best.state, loads[best.state.endpoint.id], side, now),
     )
 
 
@@ -365,6 +391,15 @@
     return Side(grouping.writer_group(states, loads), is_writing)
 
 
+def _inputs(state: endpoints.EndpointState, load, side: Side | None, now: float) -> Inputs | None:
+    """Return what is known of a chosen endpoint, None where neighbours are disregarded."""
+    if side is None:
+        return None
+    age = state.report_age(now)
+    size, is_preferred = len(side.group), side.has(state)
+    return Inputs(side.is_writing, size, is_preferred, load[0], load[1], load[4], age)
+
+
 def _version_estimates(
     states,
     loads,
