Derive the group from all endpoints that have the weights, and count no long prompt as a writer

The group depended on which endpoints had memory for the request at hand, so requests of different sizes saw different groups: by the log of seven routers, 31 of 100 short streams left the group, and a quarter of the long prompts (hints far off) counted as writers. A long prompt waits rather than going where streams run, while its objective allows it.

--- a/bronzemux/gateway/grouping.py
+++ b/bronzemux/gateway/grouping.py
@@ -16,8 +16,10 @@
 
 # Tokens of a prompt that an engine reads in one step.
 PIECE_TOKENS = 2048
-# A request mostly writes if it makes this many events for each step that reads its prompt.
+# A request mostly writes if it makes this many events for each step that reads its prompt, and the
+# prompt is no longer than a few steps: beside streams, a long one does harm whatever it writes.
 MIN_EVENTS_PER_STEP = 2.0
+MAX_WRITER_STEPS = 2.0
 # Fraction of the slots in the group that its streams take. The rest allows for loads that are a
 # status message old.
 SLOT_FRACTION = 0.75
@@ -40,6 +42,8 @@
       tokens_per_event: Tokens in one event of a stream.
     """
     steps = prompt.tokens / PIECE_TOKENS
+    if steps > MAX_WRITER_STEPS:
+        return False
     return prompt.expected_output_tokens > MIN_EVENTS_PER_STEP * steps * tokens_per_event
 
 
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -220,11 +220,16 @@
         if load[0] < requirements.max_requests:
             eligible.append(state)
     eligible = eligible or loaded
+    side = _side(loaded, loads, requirements)
     if requirements.max_memory_tokens:
         eligible = [
             state for state in eligible if has_memory(loads[state.endpoint.id][3], requirements)
         ]
-    side = _side(eligible, loads, requirements)
+        if side is not None and not side.is_writing:
+            # While it may wait for memory, a long prompt does not go where streams run.
+            eligible = [
+                state for state in eligible if side.has(state) or not loads[state.endpoint.id][4]
+            ]
     estimates = []
     by_weights = collections.defaultdict(list)
     for state in eligible:
--- a/features/engine_simulation.py
+++ b/features/engine_simulation.py
@@ -86,6 +86,7 @@
         self.used = 0
         self.busy = False
         self.stops: list[tuple[float, float, float]] = []
+        self.phase = random.Random(state.endpoint.id).random()
 
     def cached_prefix(self, keys) -> int:
         """Return the tokens of the longest cached prefix, whose parts become the newest ones."""
@@ -182,7 +183,7 @@
             if start <= now < end:
                 found *= value
         if self.simulation.has_noise:
-            window = int(now / 0.6 + hash(self.state.endpoint.id) % 97 / 97)
+            window = int(now / 0.6 + self.phase)
             if random.Random(f"{self.state.endpoint.id}{window}").random() < 0.15:
                 found *= 2.5
         return found
