Take the grouping of streams out again, and keep what was measured

Kept: the longest pause of each stream, in the log event request and as a metric, with a test; and a test that 500 choices on drawn states have the digest that gives for them.

--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -46,14 +46,12 @@
       tokens: Prompt tokens of these requests that the endpoint has not prefilled yet.
       failures: Recent failures, decayed.
       memory: Most tokens of KV memory that the requests, and KV backups of requests, can take.
-      writers: Those requests that mostly write, where services are placed by it.
     """
 
     requests: int = 0
     tokens: float = 0.0
     failures: float = 0.0
     memory: int = 0
-    writers: int = 0
 
 
 # Source of a load that covers all routers, this one included.
@@ -122,7 +120,6 @@
       backlog_tokens: Prompt tokens of this gateway that the endpoint has not prefilled yet.
       memory_tokens: Most tokens of KV memory that this gateway's requests, and KV backups of its
         requests, can take there.
-      writers: Requests of this gateway there that mostly write; see `grouping`.
       latency_seconds: Moving average of the response time, for services without an engine.
       slowdown: Moving average of the ratio of observed to expected time to the first event, for
         engines.
@@ -147,7 +144,6 @@
         written before; the next one cannot have been.
       cached_peer_load: Sum of the loads of other gateways when it was last computed, None before.
       hash_name: The incarnation as input of rendezvous hashing.
-      group_rank: Sort key made by `grouping.group_rank`, empty before it is needed.
       notices: What the endpoint has asked of this router.
     """
 
@@ -155,7 +151,6 @@
     in_flight: int = 0
     backlog_tokens: float = 0.0
     memory_tokens: int = 0
-    writers: int = 0
     latency_seconds: float | None = None
     slowdown: float = 1.0
     failures: float = 0.0
@@ -175,7 +170,6 @@
     has_later_entry: bool = False
     cached_peer_load: CachedPeerLoad | None = None
     hash_name: bytes = b""
-    group_rank: bytes = b""
     notices: endpoint_notices.Notices = dataclasses.field(default_factory=endpoint_notices.Notices)
 
     def __post_init__(self):
@@ -229,9 +223,7 @@
     def own_load(self, now: float) -> EndpointLoad:
         """Return the load of this gateway."""
         failures = self._own_failures(now)
-        return EndpointLoad(
-            self.in_flight, self.backlog_tokens, failures, self.memory_tokens, self.writers
-        )
+        return EndpointLoad(self.in_flight, self.backlog_tokens, failures, self.memory_tokens)
 
     def load(self, now: float) -> tuple[int, float]:
         """Return the requests in flight and the prompt tokens to prefill, of all gateways."""
@@ -246,8 +238,8 @@
         """Return the load of all gateways."""
         return self._sum_fresh(self.own_load(now), now, includes_remote=True)
 
-    def all_loads(self, now: float) -> tuple[int, float, float, int, int]:
-        """Return requests, prompt tokens to prefill, failures, memory and writers of all gateways.
+    def all_loads(self, now: float) -> tuple[int, float, float, int]:
+        """Return requests, prompt tokens to prefill, failures and memory of all gateways.
 
         These are the fields of `EndpointLoad`, in its order.
         """
@@ -257,14 +249,8 @@
             self.backlog_tokens + peers.tokens,
             (self._own_failures(now) if self.failures else 0.0) + peers.failures,
             self.memory_tokens + peers.memory,
-            self.writers + peers.writers,
         )
 
-    def report_age(self, now: float) -> float:
-        """Return the age of the oldest report of other routers that counts, 0 without one."""
-        ages = [now - at for _, at in self.peer_loads.values() if now - at < PEER_LOAD_TTL_SECONDS]
-        return max(ages, default=0.0)
-
     def _peer_load(self, now: float) -> EndpointLoad:
         """Return the load of the other gateways."""
         cached = self.cached_peer_load
@@ -296,14 +282,13 @@
             max(0.0, load.tokens - own.tokens),
             max(0.0, load.failures - own.failures),
             max(0, load.memory - own.memory),
-            max(0, load.writers - own.writers),
         )
         return CachedPeerLoad(others, generation, own, reported_at + PEER_LOAD_TTL_SECONDS)
 
     def _sum_fresh(self, first: EndpointLoad, now: float, includes_remote: bool) -> EndpointLoad:
         """Return the sum of a load and those that have not expired, without the total of all."""
         requests, tokens = first.requests, first.tokens
-        failures, memory, writers = first.failures, first.memory, first.writers
+        failures, memory = first.failures, first.memory
         for source, (load, at) in self.peer_loads.items():
             if now - at >= PEER_LOAD_TTL_SECONDS or source is ALL_ROUTERS:
                 continue
@@ -312,8 +297,7 @@
                 tokens += load.tokens
                 failures += load.failures
                 memory += load.memory
-                writers += load.writers
-        return EndpointLoad(requests, tokens, failures, memory, writers)
+        return EndpointLoad(requests, tokens, failures, memory)
 
     def _own_failures(self, now: float) -> float:
         """Return the decayed number of failures of this gateway there."""
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -11,7 +11,6 @@
     endpoints,
     exchange,
     failures,
-    grouping,
     http1,
     model,
     placement,
@@ -395,31 +394,12 @@
             max_memory_tokens=(
                 int(service.engine.cache_tokens * MAX_MEMORY_FRACTION) if has_memory_limit else 0
             ),
-            tokens_per_event=self._tokens_per_event(service),
         )
         choices = (
             placement.choose_engine(s, requirements, view, now) for s in self._isolate(job, states)
         )
         return next(filter(None, choices), None)
 
-    def _tokens_per_event(self, service: model.Service | None) -> int:
-        return grouping.tokens_per_event(
-            self.components.cluster_state.configuration,
-            service,
-            self.components.settings.min_pause_objective_seconds,
-        )
-
-    def _is_writer(self, job: jobs.Job) -> bool:
-        """Return whether a request counts as one that mostly writes."""
-        services = self.components.cluster_state.configuration.services
-        tokens_per_event = self._tokens_per_event(services.get(job.service))
-        prompt = job.request.prompt
-        return (
-            prompt is not None
-            and tokens_per_event > 0
-            and grouping.is_writer(prompt, tokens_per_event)
-        )
-
     def _isolate(self, job: jobs.Job, states: list) -> list[list]:
         """Return the lists of endpoints among which one is chosen, the preferred list first.
 
@@ -461,9 +441,7 @@
         prompt = job.request.prompt
         memory = prompt.memory_tokens if prompt is not None else 0
         reserved = [state] if choice.backup is None else [state, choice.backup]
-        is_writer = self._is_writer(job)
         state.in_flight += 1
-        state.writers += is_writer
         self.in_flight += 1
         job.sent_at = self.clock.monotonic()
         if self.in_flight == 1:
@@ -486,7 +464,6 @@
         finally:
             attempt.release_suspect()
             state.in_flight -= 1
-            state.writers -= is_writer
             self.in_flight -= 1
             for endpoint_state in reserved:
                 endpoint_state.memory_tokens -= memory
@@ -504,11 +481,6 @@
         self.components.meters.waited.labels(service).observe(job.waited_seconds)
         if job.route.kind is model.RouteKind.STREAM and job.first_at is not None:
             self.components.meters.pause.labels(service).observe(job.longest_pause)
-        inputs = job.choice.inputs if job.choice else None
-        if inputs is not None:
-            side = "writes" if inputs.is_writing else "reads"
-            place = "preferred" if inputs.is_preferred else "other"
-            self.components.meters.sides.labels(service, side, place).inc()
         if job.first_at is not None:
             self.components.meters.first_event.labels(service).observe(
                 job.first_at - job.arrived_at
@@ -530,7 +502,6 @@
             tokens=job.request.prompt.tokens if job.request.prompt else 0,
             prefix=self._prefix(job),
             fetch=choice.fetch_from if choice else "",
-            **_describe_inputs(choice),
             save=bool(choice and choice.save_to),
             waited=job.waited_seconds,
             first=(job.first_at - job.arrived_at) if job.first_at is not None else None,
@@ -548,19 +519,3 @@
         if prompt is None or choice is None or not choice.salt or not prompt.shared_parts:
             return ""
         return cache_index.prefix_keys(choice.salt, prompt.shared_parts)[-1][0].hex()[:8]
-
-
-def _describe_inputs(choice: placement.Choice | None) -> dict:
-    """Return the log fields about the requests beside which one was placed."""
-    inputs = choice.inputs if choice else None
-    if inputs is None:
-        return {}
-    return {
-        "writes": inputs.is_writing,
-        "group": inputs.group_size,
-        "preferred": inputs.is_preferred,
-        "beside": inputs.requests,
-        "writers": inputs.writers,
-        "backlog": int(inputs.backlog_tokens),
-        "age": inputs.age_seconds,
-    }
--- a/bronzemux/gateway/gossip.py
+++ b/bronzemux/gateway/gossip.py
@@ -50,7 +50,6 @@
       tokens: Prompt tokens still to be prefilled.
       failure_hundredths: Decaying number of recent failures there, in hundredths.
       memory: Upper bound of the tokens that the requests, and KV backups of requests, occupy there.
-      writers: Number of those requests that mostly write; only where services are placed by it.
     """
 
     endpoint: str
@@ -58,7 +57,6 @@
     tokens: int
     failure_hundredths: int = 0
     memory: int = 0
-    writers: int = 0
 
 
 @records.record
@@ -297,8 +295,6 @@
 MAX_INTEGER = 2**63 - 1
 INTEGERS = range(-MAX_INTEGER, MAX_INTEGER + 1)
 COUNTS = range(MAX_INTEGER + 1)
-# Types of the values of a `Load` but the last.
-LOAD_TYPES = (str, COUNTS, COUNTS, COUNTS, COUNTS)
 MAX_CPU_CORES = 1e6
 # Part of the cause of an error that its message contains.
 MAX_CAUSE_LENGTH = 200
@@ -320,10 +316,8 @@
 # many of them.
 FLAT_TYPES = {
     kind: operator.attrgetter(*(field.name for field in dataclasses.fields(kind)))
-    for kind in (PrefixUpdate, WeightsUpdate, rows.Row)
+    for kind in (Load, PrefixUpdate, WeightsUpdate, rows.Row)
 }
-_load_values = operator.attrgetter(*(field.name for field in dataclasses.fields(Load)))
-_load_values_of_0_2 = operator.attrgetter(*[f.name for f in dataclasses.fields(Load)][:-1])
 
 
 def encode(message) -> bytes:
@@ -338,10 +332,6 @@
         values = [_encode_values(getattr(item, name)) for name in names]
         # Routers of version 0.2.0 do not know the last field.
         return values[:-1] if type(item) in ROWS_TYPES and values[-1] is False else values
-    if type(item) is tuple and item and type(item[0]) is Load:
-        # Only routers that place by the last value know it.
-        getter = _load_values if any(load.writers for load in item) else _load_values_of_0_2
-        return list(map(getter, item))
     if type(item) is tuple and item and type(item[0]) in FLAT_TYPES:
         return list(map(FLAT_TYPES[type(item[0])], item))
     if type(item) is tuple:
@@ -413,7 +403,7 @@
         },
         is_following=_check_type(is_following, bool),
         roster_checksum=_check_integer(roster, COUNTS),
-        loads=_decode_loads(loads),
+        loads=_decode_entries(Load, loads, str, COUNTS, COUNTS, COUNTS, COUNTS),
         weights=_decode_entries(WeightsUpdate, weights, str, str, COUNTS, bool),
         prefixes=_decode_entries(PrefixUpdate, prefixes, bytes, COUNTS, str, INTEGERS),
         crashes=tuple(
@@ -509,12 +499,6 @@
     return tuple(itertools.starmap(kind, values))
 
 
-def _decode_loads(values) -> tuple[Load, ...]:
-    """Return loads, of which some routers omit the last value."""
-    has_writers = isinstance(values, list) and values and len(values[0]) > len(LOAD_TYPES)
-    return _decode_entries(Load, values, *LOAD_TYPES, *([COUNTS] if has_writers else []))
-
-
 def _decode_router(values) -> Router:
     name, boot, peer, ingress, data_centre, is_ready, cpu_cores, sequence = _check_length(values, 8)
     return Router(
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -55,7 +55,7 @@
       sent_at: Monotonic seconds at which the last attempt began.
       waited_seconds: Time spent waiting for an endpoint.
       first_at: Monotonic seconds of the first byte sent to the caller, None before that.
-      longest_pause: Longest time between two events of its stream, in seconds.
+      longest_pause: Longest time between two events of its stream from one endpoint, in seconds.
       choice: Endpoint of the last attempt, None before the first.
       used_channels: Connections on which the request was sent, or was about to be.
       failed_attempts: Endpoint and cause of each failed attempt, for the log.
--- a/bronzemux/gateway/meters.py
+++ b/bronzemux/gateway/meters.py
@@ -40,9 +40,6 @@
         self.total = self._histogram("request_seconds", "Time to the end of the answer")
         self.waited = self._histogram("queue_seconds", "Time until an endpoint was chosen")
         self.pause = self._histogram("stream_pause_seconds", "Longest pause of a stream")
-        self.sides = self._counter(
-            "placements", "Requests placed by their neighbours", "service", "side", "place"
-        )
         self.mesh_bytes = self._counter("mesh_bytes", "Bytes between routers", "direction")
         self.orders = self._counter("orders", "Orders to endpoints", "outcome")
         self.connections = self._gauge("endpoint_connections_opened", "Connections opened so far")
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -4,7 +4,6 @@
 import enum
 import functools
 import hashlib
-import itertools
 from collections.abc import Mapping
 
 from bronzemux import records
@@ -47,8 +46,6 @@
       priority: 0 is the most urgent.
       is_anonymous: Whether requests need no API key.
       is_resumable: Whether another endpoint may resume an interrupted stream.
-      pause_objective_seconds: Longest pause between events of a stream that is in time, 0 when none
-        is stated.
     """
 
     name: str
@@ -62,7 +59,6 @@
     priority: int = 5
     is_anonymous: bool = False
     is_resumable: bool = False
-    pause_objective_seconds: float = 0.0
 
     @property
     def is_idempotent(self) -> bool:
@@ -79,14 +75,12 @@
       cache_tokens: KV memory for running requests and cached prompt parts, in tokens.
       models: Names of the models.
       has_backups: Whether endpoints accept KV backups of requests that other endpoints execute.
-      tokens_per_event: Tokens in one event of a stream.
     """
 
     slots: int
     cache_tokens: int
     models: tuple[str, ...] = ()
     has_backups: bool = False
-    tokens_per_event: int = 1
 
 
 @records.record
@@ -174,17 +168,6 @@
         """Return the team that owns an API key, None when no team does."""
         return self.teams.get(digest_key(key)) if key else None
 
-    @functools.cached_property
-    def pause_objectives(self) -> dict[str, float]:
-        """Return the longest pause objective of the stream routes of each service, in seconds."""
-        found: dict[str, float] = {}
-        for route in itertools.chain.from_iterable(self.routes.values()):
-            if route.kind is RouteKind.STREAM:
-                for share in route.shares:
-                    pause = route.pause_objective_seconds
-                    found[share.service] = max(pause, found.get(share.service, 0.0))
-        return found
-
     def cache_stores(self) -> tuple[Service, ...]:
         """Return the services that store KV cache."""
         return tuple(s for s in self.services.values() if s.cache_store)
@@ -259,25 +242,18 @@
       tokens: Length of the whole prompt in tokens.
       max_output_tokens: Most tokens to generate.
       parts: Parts in order; the last one is specific to the request or its session.
-      output_hint: The caller's estimate of the tokens to generate, 0 without one.
     """
 
     model: str
     tokens: int
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
-    output_hint: int = 0
 
     @property
     def memory_tokens(self) -> int:
         """Return the most tokens of an endpoint's memory that the request occupies."""
         return self.tokens + self.max_output_tokens
 
-    @property
-    def expected_output_tokens(self) -> int:
-        """Return the tokens that the request is expected to generate."""
-        return self.output_hint or self.max_output_tokens
-
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """Return the parts that other requests may share."""
--- a/bronzemux/gateway/placement.py
+++ b/bronzemux/gateway/placement.py
@@ -11,7 +11,7 @@
 import typing
 
 from bronzemux import records
-from bronzemux.gateway import cache_index, endpoints, grouping, model
+from bronzemux.gateway import cache_index, endpoints, model
 
 # Prefill rate of an endpoint of normal speed. Only its ratio to the transfer rate matters, as the
 # slowdown of each endpoint is measured.
@@ -65,7 +65,6 @@
       candidate_count: Endpoints that were eligible.
       backup: Endpoint that gets a backup of the request's KV cache, None for none.
       is_continuation: Whether the request continues from the KV backup that the endpoint has.
-      inputs: What the choice of its neighbours used, None where they are disregarded.
     """
 
     state: endpoints.EndpointState
@@ -79,30 +78,6 @@
     candidate_count: int = 0
     backup: endpoints.EndpointState | None = None
     is_continuation: bool = False
-    inputs: "Inputs | None" = None
-
-
-@records.record
-class Inputs:
-    """What was known of the chosen endpoint when requests are placed by their neighbours.
-
-    Attributes:
-      is_writing: Whether the request mostly writes.
-      group_size: Endpoints on which streams are gathered.
-      is_preferred: Whether the endpoint is on the request's side of the group.
-      requests: Requests at the endpoint.
-      backlog_tokens: Prompt tokens to be read there.
-      writers: Requests there that mostly write.
-      age_seconds: Age of the oldest report of other routers in these figures.
-    """
-
-    is_writing: bool
-    group_size: int
-    is_preferred: bool
-    requests: int
-    backlog_tokens: float
-    writers: int
-    age_seconds: float
 
 
 @records.record
@@ -178,8 +153,6 @@
       max_requests: Requests that one endpoint takes, those in its queue included.
       needs_backup: Whether another endpoint is to get a backup of the request's KV cache.
       max_memory_tokens: KV memory that requests may take at one endpoint, 0 for no limit.
-      tokens_per_event: Tokens in one event of a stream; 0 to place requests regardless of what those
-        on one endpoint cost each other.
     """
 
     prompt: model.Prompt
@@ -190,7 +163,6 @@
     max_requests: int
     needs_backup: bool = False
     max_memory_tokens: int = 0
-    tokens_per_event: int = 0
 
 
 def choose_engine(
@@ -220,7 +192,6 @@
         if load[0] < requirements.max_requests:
             eligible.append(state)
     eligible = eligible or loaded
-    side = _side(loaded, loads, requirements)
     if requirements.max_memory_tokens:
         eligible = [
             state for state in eligible if has_memory(loads[state.endpoint.id][3], requirements)
@@ -230,7 +201,7 @@
     for state in eligible:
         by_weights[state.weights[name]].append(state)
     for weights, same in by_weights.items():
-        estimates.extend(_version_estimates(same, loads, weights, requirements, view, now, side))
+        estimates.extend(_version_estimates(same, loads, weights, requirements, view, now))
     if not estimates:
         return None
     best = min(estimates, key=lambda estimate: estimate.cost)
@@ -250,7 +221,6 @@
         cached_tokens=best.cached_tokens,
         candidate_count=len(eligible),
         backup=backup,
-        inputs=_inputs(best.state, loads[best.state.endpoint.id], side, now),
     )
 
 
@@ -367,55 +337,16 @@
     cached_tokens: int
 
 
-class Side(typing.NamedTuple):
-    """Which endpoints a request prefers because of the requests there; see `grouping`.
-
-    Attributes:
-      group: Identities of the endpoints on which streams are gathered.
-      is_writing: Whether the request mostly writes, and prefers these.
-    """
-
-    group: frozenset[str]
-    is_writing: bool
-
-    def has(self, state: endpoints.EndpointState) -> bool:
-        """Return whether the request prefers an endpoint."""
-        return (state.endpoint.id in self.group) == self.is_writing
-
-
-def _side(states, loads, requirements: Requirements) -> Side | None:
-    """Return the side of a request, None where requests are placed regardless of it."""
-    if not requirements.tokens_per_event:
-        return None
-    is_writing = grouping.is_writer(requirements.prompt, requirements.tokens_per_event)
-    return Side(grouping.writer_group(states, loads), is_writing)
-
-
-def _inputs(state: endpoints.EndpointState, load, side: Side | None, now: float) -> Inputs | None:
-    """Return what is known of a chosen endpoint, None where neighbours are disregarded."""
-    if side is None:
-        return None
-    age = state.report_age(now)
-    size, is_preferred = len(side.group), side.has(state)
-    return Inputs(side.is_writing, size, is_preferred, load[0], load[1], load[4], age)
-
-
 def _version_estimates(
-    states,
-    loads,
-    weights: int,
-    requirements: Requirements,
-    view: GatewayView,
-    now: float,
-    side: Side | None,
+    states, loads, weights: int, requirements: Requirements, view: GatewayView, now: float
 ):
     """Yield the estimate of each shortlisted endpoint, all with the same weights."""
     prefix = describe_prefix(states, weights, requirements, view, now)
     is_old = weights < requirements.current_weights
     stale = STALE_WEIGHTS_COST_OBJECTIVES * requirements.objective_seconds if is_old else 0.0
-    for hash_rank, state in shortlist(states, loads, prefix, side):
+    for hash_rank, state in shortlist(states, loads, prefix):
         cost, seconds, fetch_from, cached_tokens = _estimate(
-            state, loads[state.endpoint.id], hash_rank, requirements.prompt, prefix, view, side
+            state, loads[state.endpoint.id], hash_rank, requirements.prompt, prefix, view
         )
         yield Estimate(cost + stale, seconds, state, weights, prefix, fetch_from, cached_tokens)
 
@@ -460,7 +391,7 @@
     return PrefixInfo(salt, keys, local_tokens, fetchable, longest_tokens, view.store_of(keys))
 
 
-def shortlist(states, loads, prefix: PrefixInfo, side: Side | None = None):
+def shortlist(states, loads, prefix: PrefixInfo):
     """Return the hash rank and the state of each endpoint whose cost is to be estimated.
 
     With many endpoints, only those that hold the prefix, have a low hash rank or have little load
@@ -471,12 +402,8 @@
       loads: Tuples by identity of the endpoint; the first two entries are its requests and the
         prompt tokens to prefill.
       prefix: Where the prefixes of the prompt are cached.
-      side: The endpoints that the request prefers, None for no preference.
     """
-    ordered = _ranked(states, prefix.keys)
-    if side is not None:
-        ordered.sort(key=side.has, reverse=True)
-    ranked = list(enumerate(ordered))
+    ranked = list(enumerate(_ranked(states, prefix.keys)))
     if len(ranked) <= SHORTLIST_THRESHOLD_ENDPOINTS:
         return ranked
 
@@ -484,8 +411,7 @@
 
     def load_key(pair):
         load = loads[pair[1].endpoint.id]
-        is_other = side is not None and not side.has(pair[1])
-        return (is_other, load[1] + load[0] * tokens_per_request, pair[0])
+        return (load[1] + load[0] * tokens_per_request, pair[0])
 
     holders = [pair for pair in ranked if prefix.local_tokens[pair[1].endpoint.id]]
     holders = heapq.nsmallest(
@@ -498,13 +424,7 @@
 
 
 def _estimate(
-    state,
-    load,
-    hash_rank: int,
-    prompt: model.Prompt,
-    prefix: PrefixInfo,
-    view: GatewayView,
-    side: Side | None,
+    state, load, hash_rank: int, prompt: model.Prompt, prefix: PrefixInfo, view: GatewayView
 ) -> tuple[float, float, str, int]:
     """Return the first fields of an `Estimate`, without the endpoint: cost, seconds, address, tokens.
 
@@ -515,12 +435,11 @@
       prompt: The prompt.
       prefix: Where the prefixes of the prompt are cached.
       view: State of this gateway besides the endpoints.
-      side: The endpoints that the request prefers, None for no preference.
     """
     entry = state.endpoint
     local_tokens = prefix.local_tokens[entry.id]
     address, fetched_tokens, fetch_seconds = _best_holder(state, prefix, local_tokens)
-    count, backlog, failures = load[:3]
+    count, backlog, failures, _ = load
     cached_tokens = max(local_tokens, fetched_tokens)
     prefill_tokens = max(0, prompt.tokens - cached_tokens)
     seconds = state.slowdown * (backlog + prefill_tokens) / PREFILL_TOKENS_PER_SECOND
@@ -528,15 +447,9 @@
     cost = seconds * (1 + failures)
     cost += max(0, prefix.longest_tokens - cached_tokens) * RECOMPUTE_SECONDS_PER_TOKEN
     if not local_tokens:
-        is_writing = side is not None and side.is_writing
-        cost += hash_rank * (grouping.RANK_SECONDS if is_writing else HASH_RANK_SECONDS)
+        cost += hash_rank * HASH_RANK_SECONDS
     if entry.data_centre != view.data_centre:
         cost += REMOTE_COST_SECONDS
-    if side is not None:
-        rate = PREFILL_TOKENS_PER_SECOND / state.slowdown
-        cost += grouping.added_cost(
-            state, load, side.has(state), side.is_writing, prefill_tokens / rate, backlog / rate
-        )
     return cost, seconds, address, cached_tokens
 
 
--- a/bronzemux/gateway/relaying.py
+++ b/bronzemux/gateway/relaying.py
@@ -107,11 +107,7 @@
         failure_hundredths = int(100 * load.failures)
         if load.requests or load.memory or failure_hundredths:
             tokens = int(load.tokens)
-            found.append(
-                gossip.Load(
-                    key, load.requests, tokens, failure_hundredths, load.memory, load.writers
-                )
-            )
+            found.append(gossip.Load(key, load.requests, tokens, failure_hundredths, load.memory))
     return tuple(found)
 
 
@@ -136,9 +132,7 @@
         load = loads.get(key)
         if load is not None:
             failures = load.failure_hundredths / 100
-            peer_load = endpoints.EndpointLoad(
-                load.requests, load.tokens, failures, load.memory, load.writers
-            )
+            peer_load = endpoints.EndpointLoad(load.requests, load.tokens, failures, load.memory)
             state.peer_loads[source] = (peer_load, now)
         elif source is endpoints.ALL_ROUTERS:
             # An absent entry means no load. Recording a load of zero keeps this router's own
--- a/bronzemux/gateway/settings.py
+++ b/bronzemux/gateway/settings.py
@@ -42,8 +42,6 @@
       ready_address: Address of the readiness check.
       directory_address: Address of the directory, which lists the routers for callers.
       peer_address: Address that accepts connections of other routers.
-      min_pause_objective_seconds: Services are placed by what requests on one endpoint cost each
-        other if a stream route to them states a pause objective of at least this.
       advertised_peer_address: Address given to other routers, empty for `peer_address`; the two
         differ behind network address translation.
       metrics_port: Port of the metrics, 0 for none.
@@ -70,7 +68,6 @@
     cpu_cores: float = 1.0
     bounds: Bounds = Bounds()
     advertised_peer_address: str = ""
-    min_pause_objective_seconds: float = 0.35
 
     @property
     def reachable_address(self) -> str:
--- a/bronzemux/platform/documents.py
+++ b/bronzemux/platform/documents.py
@@ -101,7 +101,6 @@
         priority=fields.integer(item, "priority", 5),
         is_anonymous=fields.flag(item, "anonymous", False),
         is_resumable=fields.flag(item, "resumable", False),
-        pause_objective_seconds=fields.number(item, "target_gap_ms", 0.0) / 1000,
     )
 
 
@@ -125,7 +124,6 @@
             models=tuple(fields.identifier(entry, "name") for entry in models),
             # By the platform's protocol, endpoints accept KV backups unless this field is false.
             has_backups=fields.flag(engine, "backups", True),
-            tokens_per_event=max(1, fields.integer(engine, "stride", 1, MAX_TOKENS)),
         )
     return model.Service(
         name=fields.identifier(item, "name"),
--- a/bronzemux/platform/headers.py
+++ b/bronzemux/platform/headers.py
@@ -15,7 +15,6 @@
 MODEL = "model"
 TOKEN_COUNTS = "token-counts"
 PROMPT_PREFIX = "prompt-prefix"
-LENGTH_HINT = "length-hint"
 TEAM = "tenant"
 TARGET_ENDPOINT = "target-instance"
 EXPECTED_WEIGHTS = "expect-version"
@@ -252,9 +251,7 @@
         for entry in filter(None, (head.get(PROMPT_PREFIX) or "").split(",")):
             identity, _, length = entry.strip().partition(":")
             parts.append(model.PromptPart(identity, _token_count(length)))
-        hint = _number(head, LENGTH_HINT) or 0
-        counts = (_token_count(tokens), _token_count(output or "0"))
-        return model.Prompt(name, *counts, tuple(parts), min(hint, counts[1] or hint))
+        return model.Prompt(name, _token_count(tokens), _token_count(output or "0"), tuple(parts))
     except ValueError:
         return model.Prompt(name, 0, 0)
 
--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -24,6 +24,10 @@
     When 60 requests per second with 60 prefixes of 3000 tokens arrive for 1 second
     Then endpoint 1 gets more than any other, but at most 60 percent
 
+  # Guards the earlier deployments: what is added for others leaves their choices as they are.
+  Scenario: Choices of version 0.2.0 stay as they are
+    Then 500 choices on drawn states are those of version 0.2.0
+
   Scenario: Old weights are not used beyond the time bound
     Given 3 model endpoints with empty caches
     And endpoint 1 has weights 2, which the operator requested 9.5 seconds ago
--- a/features/gateway_silence.feature
+++ b/features/gateway_silence.feature
@@ -21,6 +21,17 @@
       | 1.4     | events in two parts      |
       | 1.6     | comments during the pause |
 
+  Scenario Outline: The longest pause of a stream is in the log and in the metrics
+    Given the log is recorded
+    And the endpoints pause for 0.9 seconds in a stream and send <form>
+    When 1 requests "POST /draft/1" are sent at once
+    Then the log and the metrics have a pause of 0.9 seconds
+
+    Examples:
+      | form                      |
+      | whole events              |
+      | comments during the pause |
+
   # Guards against a stream that is broken off on a pause although no retry is left for it.
   Scenario Outline: A stream outlasts a pause of its endpoint when it cannot continue at another one
     Given the endpoints pause for 1.5 seconds in a stream and send <form>
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import hashlib
 import random
 
 import gevent
@@ -11,6 +12,8 @@
 from bronzemux.gateway import cache_index, cache_store_watcher, endpoints, model, placement, waiting
 
 MODEL = "m1"
+# Digest of the choices that version 0.2.0 makes on the states of `drawn_choices`.
+CHOICES_OF_0_2 = "89113406b262a0ac64da13f23e2da6beccc0d22e75328897bbf569f7009e2108"
 OBJECTIVE_SECONDS = 0.6
 CACHE_TOKENS = 100_000
 STORE_ADDRESS = "10.9.9.9:1"
@@ -556,3 +559,60 @@
     state = context.states[number - 1]
     assert state.load(seconds)[0] == count, state.load(seconds)
     assert state.all_loads(seconds)[0] == count, state.all_loads(seconds)
+
+
+def drawn_states(draw: random.Random) -> list[endpoints.EndpointState]:
+    """Return endpoints with drawn loads, failures, weights and data centres."""
+    states = []
+    for number in range(draw.choice((3, 9, 40))):
+        place = draw.choice("abc")
+        entry = model.Endpoint(f"e{number}", "lm", f"10.0.1.{number}:1", place, 16)
+        state = endpoints.EndpointState(entry)
+        state.weights[MODEL] = draw.choice((1, 2, 2, 2))
+        state.in_flight, state.backlog_tokens = draw.randrange(20), draw.random() * 20_000
+        state.memory_tokens, state.slowdown = draw.randrange(90_000), 0.5 + draw.random()
+        state.failures, state.failed_at = draw.choice((0.0, 0.0, 1.0)), 9.0
+        load = endpoints.EndpointLoad(draw.randrange(9), draw.random() * 9000, 0.0, 5000)
+        state.peer_loads[endpoints.LoadSource("r")] = (load, 9.8)
+        states.append(state)
+    return states
+
+
+def drawn_prompt(draw: random.Random) -> model.Prompt:
+    """Return a prompt with shared parts of drawn lengths."""
+    shared, own = draw.choice((100, 3000, 6000)), draw.randrange(30, 3000)
+    parts = (model.PromptPart(f"p{draw.randrange(9)}", shared), model.PromptPart("own", own))
+    return model.Prompt(MODEL, shared + own, draw.randrange(2, 90), parts)
+
+
+def drawn_choices(count: int) -> str:
+    """Return a digest of the choices on drawn states, without the switch."""
+    draw, digest = random.Random(48), hashlib.sha256()
+    for _ in range(count):
+        states, index = drawn_states(draw), cache_index.CacheIndex()
+        for _ in range(30):
+            prompt, state = drawn_prompt(draw), draw.choice(states)
+            salt = placement.cache_salt(MODEL, state.weights[MODEL], "")
+            for key, tokens in cache_index.prefix_keys(salt, prompt.shared_parts):
+                holder = draw.choice((state.endpoint.incarnation, "10.0.9.9:1"))
+                index.add(cache_index.PrefixRecord(key, tokens, holder, 9.9), 60_000, False)
+        view = placement.GatewayView("a", index, (("10.0.9.9:1", "b"),))
+        memory = draw.choice((0, 80_000))
+        for _ in range(5):
+            limits = (0.4, draw.choice((1, 2)), 2, 32, draw.random() < 0.2, memory)
+            requirements = placement.Requirements(drawn_prompt(draw), "", *limits)
+            choice = placement.choose_engine(states, requirements, view, 10.0)
+            found = None
+            if choice is not None:
+                backup = choice.backup.endpoint.id if choice.backup else ""
+                where = (choice.state.endpoint.id, choice.weights, choice.fetch_from, backup)
+                figures = (choice.save_to, choice.cached_tokens, choice.candidate_count)
+                found = (*where, *figures, round(choice.expected_seconds, 9))
+            digest.update(repr(found).encode())
+    return digest.hexdigest()
+
+
+@then("{count:d} choices on drawn states are those of version 0.2.0")
+def step_same_choices(context, count):
+    found = drawn_choices(count // 5)
+    assert found == CHOICES_OF_0_2, found
--- a/features/steps/gateway_silence_steps.py
+++ b/features/steps/gateway_silence_steps.py
@@ -1,6 +1,7 @@
 """Steps for endpoints that are silent for a while."""
 
 import dataclasses
+import re
 
 import gevent
 from behave import given, then, when
@@ -124,3 +125,19 @@
     idle = context.site.gateways[0].components.pool.idle.values()
     channels = [entry.channel for entries in idle for entry in entries]
     assert channels and all(channel.on_read_timeout is None for channel in channels)
+
+
+@then("the log and the metrics have a pause of {seconds:g} seconds")
+def step_pause_logged(context, seconds):
+    def pauses() -> list[float]:
+        lines = [line for line in context.log.getvalue().splitlines() if " event=request " in line]
+        return [float(re.search(r" pause=(\S+)", line)[1]) for line in lines]
+
+    registry = context.site.gateways[0].components.meters.registry
+    name = "bronzemux_stream_pause_seconds"
+    gateway_support.wait_for(
+        lambda: registry.get_sample_value(f"{name}_count", {"service": "lm"}) == 1
+    )
+    found = registry.get_sample_value(f"{name}_sum", {"service": "lm"})
+    assert seconds - 0.1 < found < seconds + 0.4, found
+    gateway_support.wait_for(lambda: any(abs(pause - found) < 0.001 for pause in pauses()))
