--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -593,6 +593,8 @@
         self.components.meters.requests.labels(service, end[:3]).inc()
         self.components.meters.total.labels(service).observe(total)
         self.components.meters.waited.labels(service).observe(job.waited_seconds)
+        if job.route.kind is model.RouteKind.STREAM and job.first_at is not None:
+            self.components.meters.pause.labels(service).observe(job.longest_pause)
         if job.first_at is not None:
             self.components.meters.first_event.labels(service).observe(
                 job.first_at - job.arrived_at
@@ -620,6 +622,7 @@
             save=bool(choice and choice.save_to),
             waited=job.waited_seconds,
             first=(job.first_at - job.arrived_at) if job.first_at is not None else None,
+            pause=job.longest_pause,
             total=total,
             runs=job.executions,
             rejected=job.rejections,
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -57,6 +57,7 @@
       waited_seconds: Time spent waiting for an endpoint.
       has_awaited_room: Whether it was sent after it had waited for room at an engine.
       first_at: Monotonic seconds of the first byte sent to the caller, None before that.
+      longest_pause: Longest time between two events of its stream from one endpoint, in seconds.
       choice: Endpoint of the last attempt, None before the first.
       used_channels: Connections on which the request was sent, or was about to be.
       failed_attempts: Endpoint and cause of each failed attempt, for the log.
@@ -81,6 +82,7 @@
     waited_seconds: float = 0.0
     has_awaited_room: bool = False
     first_at: float | None = None
+    longest_pause: float = 0.0
     choice: placement.Choice | None = None
     used_channels: list[http1.Channel] = dataclasses.field(default_factory=list)
     failed_attempts: list[str] = dataclasses.field(default_factory=list)
