Let few routers serve where streams are late after a short pause, and report loads sooner

Cause: 70 routers send a few requests each; what others sent is known after 0.4 s on average, an engine reads a prompt in 0.15 s. Several routers chose the same engine, and prompts queued there.

Change: where a stream's route states an objective for pauses of at least 0.35 s, the routers with high CPU capacity serve alone while they have a third of the total (half before), and status messages are sent every 0.1 s. Other deployments keep both values; a router counts as lost as late as before.

--- a/bronzemux/gateway/gateway.py
+++ b/bronzemux/gateway/gateway.py
@@ -31,6 +31,7 @@
     orders,
     peering,
     reachability,
+    router_ranking,
     routers,
     rows,
     settings,
@@ -244,6 +245,7 @@
         self.weights_tracker.on_change.append(components.wait_queue.wake)
         self.cluster_state.on_change.append(components.wait_queue.wake)
         self.cluster_state.on_change.append(self.check_ready)
+        self.cluster_state.on_change.append(self.update_coordination)
         self.cluster_state.on_restore.append(platform.table.record_era)
         self.supervisor = supervisor.Supervisor("gateway", clock)
         self.admin_servers: list[management_server.Server] = []
@@ -406,6 +408,17 @@
         for listener in self.weights_tracker.on_update:
             listener()
 
+    def update_coordination(self) -> None:
+        """Choose how closely the routers coordinate by the configuration in force."""
+        config = self.cluster_state.configuration
+        chosen = router_ranking.coordination_for(
+            config.longest_pause_objective() if config is not None else 0.0,
+            self.settings.min_pause_objective_seconds,
+        )
+        if chosen is not self.routers.coordination:
+            self.routers.coordinate(chosen)
+            logs.event("coordination", status_seconds=chosen.status_seconds)
+
     def run_housekeeping(self) -> None:
         """Drop expired state and set the gauges."""
         self.cluster_state.expire()
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -201,6 +201,18 @@
         """Return the usage caps by name of the team."""
         return {t.name: t.usage_cap for t in self.teams.values() if t.usage_cap is not None}
 
+    def longest_pause_objective(self) -> float:
+        """Return the longest objective for pauses of a stream's route in seconds, 0 without one."""
+        return max(
+            (
+                route.pause_objective_seconds
+                for routes in self.routes.values()
+                for route in routes
+                if route.kind is RouteKind.STREAM
+            ),
+            default=0.0,
+        )
+
     def cache_stores(self) -> tuple[Service, ...]:
         """Return the services that store KV cache."""
         return tuple(s for s in self.services.values() if s.cache_store)
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -74,6 +74,19 @@
     request_count: int = 0
 
 
+def status_interval(table: routers.RouterTable, has_requests: bool, now: float) -> float:
+    """Return the interval of a router's regular status messages in seconds.
+
+    Args:
+      table: Its membership table.
+      has_requests: Whether it has requests at endpoints.
+      now: Monotonic seconds.
+    """
+    if not table.is_reserve(now) or has_requests:
+        return table.coordination.status_seconds
+    return routers.RESERVE_STATUS_SECONDS
+
+
 class Peering(supervisor.Task):
     """Task that exchanges status messages, rosters and rows with other gateways.
 
@@ -225,7 +238,8 @@
         now = self.clock.monotonic()
         is_regular = now >= self.next_regular_at
         if is_regular:
-            self.next_regular_at = now + self._status_interval(now)
+            interval = status_interval(self.table, bool(self.forwarder.in_flight), now)
+            self.next_regular_at = now + interval
             self.table.remove_silent(now)
             self._record_members(now)
         self.next_tick = self.next_regular_at
@@ -236,12 +250,6 @@
         self.store_following.update()
         self.usage.tick(now)
 
-    def _status_interval(self, now: float) -> float:
-        """Return the interval of this router's regular status messages in seconds."""
-        if not self.table.is_reserve(now) or self.forwarder.in_flight:
-            return routers.STATUS_SECONDS
-        return routers.RESERVE_STATUS_SECONDS
-
     def _record_members(self, now: float) -> None:
         self.table.alive(now)
         names = self.table.alive_names
--- a/bronzemux/gateway/router_ranking.py
+++ b/bronzemux/gateway/router_ranking.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from bronzemux import records
 from bronzemux.gateway import gossip
 
 # When one relay of a data centre is lost, the other one remains while the next is chosen.
@@ -15,6 +16,45 @@
 MIN_HIGH_CAPACITY_ROUTERS = 4
 
 
+@records.record
+class Coordination:
+    """How closely the routers coordinate their choices of endpoints.
+
+    A router knows its own requests at once and those of the others by status messages, which may
+    take longer than an engine takes for a request. The fewer routers serve callers, and the more
+    often they exchange messages, the better each knows the load.
+
+    Attributes:
+      status_seconds: Interval of the status messages of routers that serve callers, and of relays.
+      high_capacity_fraction: Least capacity of an advertised router, as a fraction of the highest
+        one, while those routers have sufficient capacity.
+      sufficient_capacity_fraction: Fraction of the total CPU capacity that suffices to serve all
+        callers.
+    """
+
+    status_seconds: float
+    high_capacity_fraction: float = HIGH_CAPACITY_FRACTION
+    sufficient_capacity_fraction: float = SUFFICIENT_CAPACITY_FRACTION
+
+
+# Four messages per second spread updates well within the second after which callers give up
+# connecting.
+USUAL_COORDINATION = Coordination(0.25)
+# For streams that are late after a short pause: an engine reads a long prompt in about the interval.
+CLOSE_COORDINATION = Coordination(0.1, sufficient_capacity_fraction=0.33)
+
+
+def coordination_for(longest_pause_seconds: float, min_pause_seconds: float) -> Coordination:
+    """Return how closely the routers of a deployment coordinate.
+
+    Args:
+      longest_pause_seconds: Longest objective for pauses of a stream in its configuration.
+      min_pause_seconds: Shortest one from which on the routers coordinate closely.
+    """
+    is_close = longest_pause_seconds >= min_pause_seconds
+    return CLOSE_COORDINATION if is_close else USUAL_COORDINATION
+
+
 def sort_key(router: gossip.Router) -> tuple[float, str]:
     """Return the sort key by descending CPU capacity, then name; it is the same on all routers."""
     return (-router.cpu_cores, router.name)
@@ -53,18 +93,22 @@
     ]
 
 
-def advertised(found: list[gossip.Router]) -> list[gossip.Router]:
+def advertised(
+    found: list[gossip.Router], coordination: Coordination = USUAL_COORDINATION
+) -> list[gossip.Router]:
     """Return the routers to advertise: those with high CPU capacity while they suffice.
 
     Args:
       found: Routers; those that do not accept callers are ignored.
+      coordination: How closely the routers coordinate.
     """
     serving = [router for router in found if router.is_ready]
-    least_capacity = HIGH_CAPACITY_FRACTION * max(
+    least_capacity = coordination.high_capacity_fraction * max(
         (router.cpu_cores for router in serving), default=0.0
     )
     high_capacity = [router for router in serving if router.cpu_cores >= least_capacity]
-    sufficient_capacity = SUFFICIENT_CAPACITY_FRACTION * sum(router.cpu_cores for router in serving)
+    total_capacity = sum(router.cpu_cores for router in serving)
+    sufficient_capacity = coordination.sufficient_capacity_fraction * total_capacity
     is_sufficient = sum(router.cpu_cores for router in high_capacity) >= sufficient_capacity
     return (
         high_capacity
--- a/bronzemux/gateway/routers.py
+++ b/bronzemux/gateway/routers.py
@@ -22,9 +22,7 @@
 from bronzemux import records
 from bronzemux.gateway import gossip, router_ranking
 
-# Four messages per second spread updates well within the second after which callers give up
-# connecting.
-STATUS_SECONDS = 0.25
+STATUS_SECONDS = router_ranking.USUAL_COORDINATION.status_seconds
 # Interval of the status messages between relays and reserve routers that have no requests: with
 # the two relays of a data centre, a reserve router still receives four messages per second.
 RESERVE_STATUS_SECONDS = 0.5
@@ -167,6 +165,7 @@
       view: Other routers that this one considers alive, as of `view_computed_at`.
       alive_names: Names of the routers in `view`.
       topology: Gossip topology as of `view_computed_at`.
+      coordination: How closely the routers coordinate.
 
     Args:
       own: State of this router.
@@ -180,6 +179,12 @@
         self.view_computed_at = -1e9
         self.alive_names: frozenset[str] = frozenset()
         self.topology = Topology(True, frozenset(), (), frozenset())
+        self.coordination = router_ranking.USUAL_COORDINATION
+
+    def coordinate(self, coordination: router_ranking.Coordination) -> None:
+        """Change how closely the routers coordinate."""
+        self.coordination = coordination
+        self.view_computed_at = -1e9
 
     # Updates
 
@@ -308,7 +313,7 @@
         advertised = frozenset(
             router.name
             for router in router_ranking.advertised(
-                [self.own, *(self.view or self._known_routers())]
+                [self.own, *(self.view or self._known_routers())], self.coordination
             )
         )
         order = [] if is_listing_enough else router_ranking.store_order([self.own, *self.view])
@@ -455,7 +460,8 @@
 
         These are the ones with high CPU capacity while they suffice.
         """
-        return router_ranking.advertised([self.own, *self.alive_or_all(now)])
+        found = [self.own, *self.alive_or_all(now)]
+        return router_ranking.advertised(found, self.coordination)
 
     def budget_divisor(self, now: float) -> int:
         """Return the number by which this router divides a budget that all routers share.
