Let no timer of a request expire before its time

Cause: the event loop counts a timer from the start of the iteration in which it is started, so a timer that is started after some milliseconds of work expires that much early. Callers lost this much of their deadline, more on a slow VM.

Change: a timer that expires early waits for the rest.

--- a/bronzemux/interruption.py
+++ b/bronzemux/interruption.py
@@ -84,7 +84,11 @@
             self.timer = None
 
     def _on_expiry(self) -> None:
-        if self.clock.monotonic() - self.ends_at > PAUSE_SECONDS:
+        late_seconds = self.clock.monotonic() - self.ends_at
+        if late_seconds < 0:
+            # The event loop counts from the start of the iteration in which the timer was started.
+            self._start(-late_seconds, self._on_expiry)
+        elif late_seconds > PAUSE_SECONDS:
             self._start(AFTER_PAUSE_SECONDS, self._raise)
         else:
             self._raise()
--- a/features/gateway_ingress.feature
+++ b/features/gateway_ingress.feature
@@ -183,3 +183,9 @@
       | waits for an endpoint | /filing/1 |
       | runs at an endpoint   | /filing/1 |
       | runs at an endpoint   | /draft/1  |
+
+  # Guards against a request that ends before its deadline, as timers count from the start of the
+  # event loop's iteration.
+  Scenario: A timer that starts late in an iteration of the event loop does not expire early
+    When a greenlet is busy for 10 ms and then waits for a timer of 20 ms
+    Then the timer does not expire before its time
--- a/features/steps/gateway_ingress_steps.py
+++ b/features/steps/gateway_ingress_steps.py
@@ -11,7 +11,7 @@
 import gevent.monkey
 from behave import given, then, when
 
-from bronzemux import errors, interruption, logs
+from bronzemux import clock, errors, interruption, logs
 from bronzemux.gateway import failures, http1, waiting
 from bronzemux.platform import standin_worker
 from features import gateway_support
@@ -343,3 +343,26 @@
     )
     gevent.monkey.get_original("time", "sleep")(1.0)
     context.replies = [sending.get(timeout=2.0)]
+
+
+@when("a greenlet is busy for {busy:d} ms and then waits for a timer of {wait:d} ms")
+def step_timer_after_work(context, busy, wait):
+    steady = clock.SystemClock()
+    expired = failures.DeadlineError("expired")
+    # Begins a new iteration of the event loop.
+    gevent.sleep(0.001)
+    busy_until = steady.monotonic() + busy / 1000
+    while steady.monotonic() < busy_until:
+        continue
+    started_at = steady.monotonic()
+    try:
+        with interruption.Timer(wait / 1000, expired, steady):
+            gevent.sleep(1.0)
+    except failures.DeadlineError:
+        pass
+    context.early_seconds = wait / 1000 - (steady.monotonic() - started_at)
+
+
+@then("the timer does not expire before its time")
+def step_timer_not_early(context):
+    assert context.early_seconds <= 0, context.early_seconds
