Compile fewer methods of mutable data classes at the start of a gateway

Cause: the modules for usage caps, order and callers brought the pieces of code that a start compiles from under 300 to 327 (features/startup.feature, bound 300); dataclasses compiles three for each mutable class.

Change: records.state shares the representation and compares by identity, as nothing compares these by value.

--- a/bronzemux/buckets.py
+++ b/bronzemux/buckets.py
@@ -1,9 +1,9 @@
 """Token buckets."""
 
-import dataclasses
+from bronzemux import records
 
 
-@dataclasses.dataclass
+@records.state
 class Bucket:
     """Token bucket.
 
--- a/bronzemux/gateway/cache_index.py
+++ b/bronzemux/gateway/cache_index.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import dataclasses
 import functools
 import hashlib
 from collections.abc import Callable, Set
@@ -80,7 +79,7 @@
     return keys
 
 
-@dataclasses.dataclass
+@records.state
 class CachedPrefix:
     """A prefix in the cache of a holder.
 
--- a/bronzemux/gateway/channels.py
+++ b/bronzemux/gateway/channels.py
@@ -1,10 +1,10 @@
 """Pool of connections to endpoints; idle ones are reused only for requests that may be retried."""
 
-import dataclasses
 import socket
 import weakref
 
 from bronzemux import clock as clocks
+from bronzemux import records
 from bronzemux.gateway import http1
 
 # Enough for two round trips between data centres and the retransmission of one lost packet.
@@ -66,7 +66,7 @@
         return counted
 
 
-@dataclasses.dataclass
+@records.state
 class IdleChannel:
     """An idle connection.
 
--- a/bronzemux/gateway/cluster_state.py
+++ b/bronzemux/gateway/cluster_state.py
@@ -1,6 +1,5 @@
 """A gateway's replica of the cluster state: configuration, weights targets and endpoints."""
 
-import dataclasses
 from collections.abc import Callable
 
 from bronzemux import clock as clocks
@@ -57,7 +56,7 @@
         raise NotImplementedError
 
 
-@dataclasses.dataclass
+@records.state
 class TargetHistory:
     """Weights versions that the operator has requested for a model.
 
--- a/bronzemux/gateway/connection_limit.py
+++ b/bronzemux/gateway/connection_limit.py
@@ -6,10 +6,11 @@
 """
 
 import collections
-import dataclasses
 import enum
 from collections.abc import Callable
 
+from bronzemux import records
+
 # Fraction of the sockets for peers, the store and the listening sockets, and the least number of
 # these. The others are shared evenly by callers and endpoints, as each request takes one of both.
 OWN_SOCKETS_FRACTION = 1 / 8
@@ -24,7 +25,7 @@
     SERVING = 2
 
 
-@dataclasses.dataclass(eq=False)
+@records.state
 class Connection:
     """An open connection of a caller.
 
--- a/bronzemux/gateway/endpoint_notices.py
+++ b/bronzemux/gateway/endpoint_notices.py
@@ -8,12 +8,11 @@
 their own.
 """
 
-import dataclasses
 import math
 from collections.abc import Iterable
 
 from bronzemux import clock as clocks
-from bronzemux import logs
+from bronzemux import logs, records
 from bronzemux.gateway import meters, model
 
 # Longest pause. An endpoint that asks for more is asked again after this time, with one request.
@@ -29,7 +28,7 @@
 MAX_RETRY_AFTER_FRACTION = 1 / 3
 
 
-@dataclasses.dataclass
+@records.state
 class Notices:
     """What one incarnation of an endpoint has asked of this router.
 
--- a/bronzemux/gateway/endpoints.py
+++ b/bronzemux/gateway/endpoints.py
@@ -97,7 +97,7 @@
     valid_until: float
 
 
-@dataclasses.dataclass
+@records.state
 class LoadOrder:
     """Order to an endpoint to load weights.
 
@@ -110,7 +110,7 @@
     reported_at: float
 
 
-@dataclasses.dataclass
+@records.state
 class EndpointState:
     """State of one incarnation of an endpoint as one gateway sees it.
 
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -34,7 +34,7 @@
 URGENCY_STEP = 3
 
 
-@dataclasses.dataclass
+@records.state
 class Job:
     """State of a request while it is served.
 
--- a/bronzemux/gateway/memory_budget.py
+++ b/bronzemux/gateway/memory_budget.py
@@ -5,9 +5,10 @@
 budget for each growth, and refuses the request that it names.
 """
 
-import dataclasses
 from collections.abc import Callable
 
+from bronzemux import records
+
 # Fraction of a VM's memory for the requests of callers, and the limit where its memory is not
 # known. The process itself, the responses that it buffers and the bytes that sockets hold take the
 # rest.
@@ -21,7 +22,7 @@
 DECODED_FIELD_BYTES = 256
 
 
-@dataclasses.dataclass(eq=False)
+@records.state
 class Holding:
     """Memory that a process holds for one connection.
 
--- a/bronzemux/gateway/peering.py
+++ b/bronzemux/gateway/peering.py
@@ -3,7 +3,6 @@
 Relays send the rows to the gateways that do not read the store themselves.
 """
 
-import dataclasses
 import functools
 from collections.abc import Callable
 
@@ -57,7 +56,7 @@
     """Event: send status messages before the next regular ones."""
 
 
-@dataclasses.dataclass
+@records.state
 class TableLag:
     """A table of which a peer has a newer version.
 
--- a/bronzemux/gateway/routers.py
+++ b/bronzemux/gateway/routers.py
@@ -82,7 +82,7 @@
     RESERVE = "reserve"
 
 
-@dataclasses.dataclass
+@records.state
 class RouterRecord:
     """A known router.
 
--- a/bronzemux/gateway/usage_caps.py
+++ b/bronzemux/gateway/usage_caps.py
@@ -8,11 +8,10 @@
 """
 
 import collections
-import dataclasses
 import hashlib
 from collections.abc import Iterable
 
-from bronzemux import buckets
+from bronzemux import buckets, records
 from bronzemux.gateway import gossip, model, router_ranking, routers, settings
 
 # A grant is valid for this long after it was requested. Units of grants that were not used are
@@ -163,7 +162,7 @@
         return granted + int(min(request.ahead, free * MAX_AHEAD_FRACTION))
 
 
-@dataclasses.dataclass
+@records.state
 class Borrowed:
     """Units of one grant that are left.
 
--- a/bronzemux/gateway/waiting.py
+++ b/bronzemux/gateway/waiting.py
@@ -4,11 +4,11 @@
 urgency.
 """
 
-import dataclasses
 import itertools
 
 from gevent import event
 
+from bronzemux import records
 from bronzemux.gateway import shortage
 
 # The shortest objective of a stream. A request waits at most this much longer than one that is one
@@ -18,7 +18,7 @@
 MAX_WAITING_REQUESTS = 512
 
 
-@dataclasses.dataclass
+@records.state
 class Waiter:
     """One waiting request.
 
--- a/bronzemux/gateway/weights.py
+++ b/bronzemux/gateway/weights.py
@@ -1,13 +1,12 @@
 """Rolling updates of model weights, ordered under a lease with a fencing token."""
 
-import dataclasses
 import math
 from collections.abc import Callable
 
 import gevent
 
 from bronzemux import clock as clocks
-from bronzemux import errors, lease, logs, supervisor
+from bronzemux import errors, lease, logs, records, supervisor
 from bronzemux.gateway import (
     cluster_state,
     endpoint_notices,
@@ -55,7 +54,7 @@
 FORWARDED_UPDATE_TTL_SECONDS = 3 * routers.STATUS_SECONDS
 
 
-@dataclasses.dataclass
+@records.state
 class PendingUpdate:
     """An update that status messages repeat until it expires.
 
--- a/bronzemux/quarantine.py
+++ b/bronzemux/quarantine.py
@@ -104,7 +104,7 @@
         return self.decided_at + self.term_seconds
 
 
-@dataclasses.dataclass
+@records.state
 class Evidence:
     """Crashes in which requests with one fingerprint were lost, with no response begun in between.
 
--- a/bronzemux/records.py
+++ b/bronzemux/records.py
@@ -1,4 +1,4 @@
-"""Frozen data classes whose generic methods are shared instead of generated.
+"""Data classes whose generic methods are shared instead of generated.
 
 `dataclasses` compiles the source of each method of each class when a module is imported. A gateway
 has a hundred data classes, and a VM may have a tenth of a core to start with.
@@ -41,3 +41,15 @@
     cls.values_of = staticmethod(getter)
     cls.__eq__, cls.__hash__, cls.__repr__ = _equal, _hash, _repr
     return cls
+
+
+@typing.dataclass_transform(eq_default=False, field_specifiers=(dataclasses.field,))
+def state(cls: type) -> type:
+    """Make a class a data class whose instances change, and are compared by identity; a decorator.
+
+    Args:
+      cls: The class.
+    """
+    cls = dataclasses.dataclass(eq=False, repr=False)(cls)
+    cls.__repr__ = _repr
+    return cls
