--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,18 @@
+"""A configuration moves a route to a new service and drops the old one while requests wait."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+import config_change_2
+import standins_2 as kit
+
+
+async def case(record, folder, has_trouble, children) -> bool:
+    return await config_change_2.play(
+        record, folder, has_trouble, children, has_new_service=True, drops_tenant=False
+    )
+
+
+kit.run_case(__file__, case)
