--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -27,12 +28,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free TCP ports on the loopback interface."""
-    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Return free TCP ports below the range that the system gives to outgoing connections."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(12_000, 32_000)
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 class Record:
@@ -541,7 +547,8 @@
 
     Options: `event_seconds` between the events of a stream, `events` of a stream, `deadly_part` at
     which the process dies after `deadly_events` whole events of the answer, `is_unframed` for
-    answers that end with their connection, `prefill_tokens_per_ms` for prompts whose parts are kept,
+    answers that end with their connection, `finishes` for a worker that makes all events of a stream
+    although its connection has closed, `prefill_tokens_per_ms` for prompts whose parts are kept,
     `work_seconds` and `body_bytes` of a plain answer.
     """
 
@@ -557,10 +564,12 @@
         print(json.dumps({"t": time.monotonic(), "event": event} | details), flush=True)
 
     async def run(self) -> None:
-        """Serve until the process is killed."""
+        """Serve until the process is killed, or the case has ended."""
+        parent = os.getppid()
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
         print(json.dumps({"port": server.sockets[0].getsockname()[1]}), flush=True)
-        await asyncio.Event().wait()
+        while os.getppid() == parent:
+            await asyncio.sleep(0.5)
 
     async def _serve(self, reader, writer) -> None:
         try:
@@ -648,10 +657,15 @@
                 self.report("crashes", id=fields["request-id"])
                 os.kill(os.getpid(), signal.SIGKILL)
             event = f"id: {number}\ndata: token-{number}\n\n".encode()
-            writer.write(event if is_unframed else chunk(event))
-            await writer.drain()
-            if reader.at_eof() or writer.is_closing():
-                return False
+            if self.options.get("finishes", False):
+                self.report("makes", id=fields["request-id"], number=number)
+                if not writer.is_closing() and not reader.at_eof():
+                    writer.write(chunk(event))
+            else:
+                writer.write(event if is_unframed else chunk(event))
+                await writer.drain()
+                if reader.at_eof() or writer.is_closing():
+                    return False
             await asyncio.sleep(self.options.get("event_seconds", 0.03))
         if is_unframed:
             return False
@@ -716,7 +730,18 @@
     record.write(f"start, disruption: {'yes' if has_trouble else 'no'}")
     children: list = []
 
+    def kill_children() -> None:
+        for child in children:
+            if child.process is not None and child.process.returncode is None:
+                child.process.kill()
+
+    def end() -> None:
+        """End the processes also when the case itself is ended."""
+        kill_children()
+        os._exit(2)
+
     async def main() -> int:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
         with tempfile.TemporaryDirectory() as folder:
             try:
                 seconds = 110.0
@@ -728,11 +753,10 @@
                 record.write(f"the case couldn't run: {type(error).__name__}: {error}")
                 return 2
             finally:
+                kill_children()
                 for child in children:
-                    process = child.process
-                    if process is not None and process.returncode is None:
-                        process.kill()
-                        await process.wait()
+                    if child.process is not None:
+                        await child.process.wait()
 
     status = asyncio.run(main())
     words = {0: "the rule held", 1: "the rule was broken", 2: "the case couldn't run"}
