Keep the cache salt of requests whose service the configuration drops

Cause: each place asked the configuration in force for the service's engines and took a service that is not listed for a plain one. The choice then has neither salt nor weights.

Change: a job keeps what its admission knew of the engines; Job.engine_in answers for choice, order under shortage, index and the check before a continuation. A choice made for a plain service is not sent to engines, and a request with a prompt for a service that was never listed is refused. This works as the salt no longer depends on whether the newest configuration names the service.

--- a/bronzemux/gateway/admission.py
+++ b/bronzemux/gateway/admission.py
@@ -86,14 +86,16 @@
         timeout_seconds = route.timeout_seconds
         if request.deadline_seconds is not None:
             timeout_seconds = min(timeout_seconds, request.deadline_seconds)
+        service = self._pick_service(request, route, config)
         job = jobs.Job(
             request,
             route,
             team,
-            self._pick_service(request, route, config),
+            service,
             arrived_at,
             arrived_at + timeout_seconds,
             config.version,
+            self._engine_of(service, request, config),
             last_event_id=request.last_event_id,
         )
         if self.shutdown is not None and self.shutdown.refuses(
@@ -142,6 +144,25 @@
             )
         return failures.RefusedError(status, message, "check the request")
 
+    def _engine_of(
+        self, name: str, request: model.Request, config: model.Configuration
+    ) -> model.EngineTraits | None:
+        """Return the properties of a service's engines, None for a plain service.
+
+        Raises:
+          failures.RefusedError: When the request has a prompt, and the configuration does not list
+            the service. Taken for a plain one, its engines would mix the prompt parts of all teams.
+        """
+        service = config.services.get(name)
+        if service is None and request.prompt is not None:
+            raise failures.RefusedError(
+                503,
+                f"the configuration does not list the service {name}",
+                "add the service, or retry later",
+                2 * RETRY_AFTER_SECONDS,
+            )
+        return service.engine if service is not None else None
+
     def _pick_service(self, request, route: model.Route, config: model.Configuration) -> str:
         """Return a service of the route by weight.
 
--- a/bronzemux/gateway/continuation.py
+++ b/bronzemux/gateway/continuation.py
@@ -119,6 +119,8 @@
             if all(share.service != origin.service for share in job.route.shares):
                 self._refuse(job, "the route does not lead to the service that began the stream")
             job.service = origin.service
+            listed = self.cluster_state.configuration.services.get(origin.service)
+            job.engine = listed.engine if listed is not None else job.engine
         job.origin = origin
         self.check_endpoints(job)
         self.meters.resumptions.labels("known").inc()
@@ -222,8 +224,7 @@
         for the request must already be open: it ends with its process, so that the process which
         answers is the one that gets the request.
         """
-        service = self.cluster_state.configuration.services.get(job.service)
-        if job.origin is None or service is None or service.engine is None:
+        if job.origin is None or job.engine_in(self.cluster_state.configuration) is None:
             return True
         began = self._begun_at(job.origin)
         target = gevent.spawn(self._is_current, state)
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -181,6 +181,9 @@
             self.state.is_gone or not self.components.continuation.allows(job, self.state)
         ):
             cause = "replaced"
+        if choice.weights is None and job.request.prompt is not None and self._engine() is not None:
+            # Without a cache salt, engines would mix the prompt parts of all teams.
+            cause = "chosen as a plain service"
         if cause:
             return failures.NotExecuted(cause, has_arrived=False)
         self._update_salt()
@@ -235,6 +238,10 @@
         self._send_response(response, body)
         return failures.Delivered(response.status)
 
+    def _engine(self) -> model.EngineTraits | None:
+        """Return the properties of the service's engines, None for a plain service."""
+        return self.job.engine_in(self.components.cluster_state.configuration)
+
     def _update_salt(self) -> None:
         """Use the cache salt of the configuration that is in force when the request is sent.
 
@@ -440,9 +447,9 @@
 
         Requests with the same prefix that arrive in the meantime then go to the same endpoint.
         """
-        service = self.components.cluster_state.configuration.services.get(self.job.service)
-        if service is not None and service.engine is not None:
-            capacity = int(service.engine.cache_tokens * cache_index.CACHE_FRACTION)
+        engine = self._engine()
+        if engine is not None:
+            capacity = int(engine.cache_tokens * cache_index.CACHE_FRACTION)
             seconds = self.choice.expected_seconds
             self._record_prefixes(self.state.endpoint.incarnation, capacity, seconds)
 
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -303,11 +303,9 @@
         """
         if job.may_have_run or job.last_event_id is not None:
             return False
-        service = self.components.cluster_state.configuration.services.get(job.service)
         minimum = self.components.settings.min_pause_objective_seconds
         return (
-            service is not None
-            and service.engine is not None
+            job.engine_in(self.components.cluster_state.configuration) is not None
             and job.request.prompt is not None
             and job.route.kind is model.RouteKind.STREAM
             and job.route.pause_objective_seconds >= minimum
@@ -370,7 +368,7 @@
 
         A request does not pass those that wait before it in this router, unless it is small.
         """
-        engine = self.components.cluster_state.configuration.services[job.service].engine
+        engine = job.engine_in(self.components.cluster_state.configuration)
         demand = self._demand(job, now)
         queue = self.components.wait_queue
         if not demand.is_small and queue.place(job.service, job.urgency, job.arrived_at):
@@ -478,7 +476,7 @@
     ) -> placement.Choice | None:
         """Return the best of some endpoints for a request, None when none can take it now."""
         config = self.components.cluster_state.configuration
-        service = config.services.get(job.service)
+        engine = job.engine_in(config)
         view = placement.GatewayView(
             self.components.settings.data_centre,
             self.components.index,
@@ -489,7 +487,7 @@
             ),
         )
         prompt = job.request.prompt
-        if service is None or service.engine is None or prompt is None:
+        if engine is None or prompt is None:
             choices = (placement.choose_plain(s, view, now) for s in self._isolate(job, states))
             return next(filter(None, choices), None)
         requirements = placement.Requirements(
@@ -498,15 +496,15 @@
             job.route.objective_seconds,
             self._newest_version_before(prompt.model, now - self._max_weights_age_seconds()),
             self._newest_version_before(prompt.model, now - STALE_WEIGHTS_GRACE_SECONDS),
-            int(service.engine.slots * (1 + QUEUE_PER_SLOT)),
+            int(engine.slots * (1 + QUEUE_PER_SLOT)),
             # A request that may be retried needs no KV backup: another endpoint can restart it.
             needs_backup=(
-                service.engine.has_backups
+                engine.has_backups
                 and job.route.kind is model.RouteKind.STREAM
                 and not job.route.is_resumable
             ),
             max_memory_tokens=(
-                int(service.engine.cache_tokens * MAX_MEMORY_FRACTION) if has_memory_limit else 0
+                int(engine.cache_tokens * MAX_MEMORY_FRACTION) if has_memory_limit else 0
             ),
         )
         choices = (
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -46,6 +46,7 @@
       arrived_at: Monotonic seconds of its arrival.
       deadline_at: Monotonic seconds at which the caller's deadline or the route's timeout passes.
       config_version: Version of the configuration that it was admitted with.
+      engine: Properties of its service's engines in that version, None for a plain service.
       is_attempt_in_flight: Whether the current attempt was sent and may therefore be executed.
       executions: Failed attempts that may have been executed.
       rejections: Failed attempts that were provably not executed.
@@ -71,6 +72,7 @@
     arrived_at: float
     deadline_at: float
     config_version: int
+    engine: model.EngineTraits | None = None
     is_attempt_in_flight: bool = False
     executions: int = 0
     rejections: int = 0
@@ -121,6 +123,18 @@
         """Return all fingerprints of the request; see `quarantine.LostRequest`."""
         return (*self.part_fingerprints, self.content_fingerprint)
 
+    def engine_in(self, configuration: model.Configuration) -> model.EngineTraits | None:
+        """Return the properties of its service's engines, None for a plain service.
+
+        The configuration in force may list the service no longer, or without engines. Those that
+        may still get the request are the same engines, so what its admission knew applies then.
+
+        Args:
+          configuration: The configuration in force.
+        """
+        service = configuration.services.get(self.service)
+        return (service.engine if service is not None else None) or self.engine
+
     @property
     def may_have_run(self) -> bool:
         """Return whether an endpoint may have executed the request, or may still do so."""
--- a/features/cache_namespace.feature
+++ b/features/cache_namespace.feature
@@ -39,6 +39,41 @@
     And "clerks" sends a request
     Then the second request does not use the namespace of the first
 
+  # Guards against requests without a cache salt, which use what any team computed, after their
+  # service was dropped.
+  Scenario Outline: A request keeps its namespace and its weights when its service is dropped while it <state>
+    Given a platform with a configuration
+    And the model endpoints "lm-1" and "lm-2" of "lm"
+    And a gateway
+    When the teams "lawyers" are isolated, and "lawyers" sends a request
+    And "clerks" sends a request
+    And requests of "lawyers" and "clerks" <state> while their route moves and their service <changes>
+    Then each team's requests ran with one salt, and on the weights that it names
+
+    Examples:
+      | state                                     | changes               |
+      | wait for an endpoint                      | is dropped            |
+      | wait for an endpoint                      | has no engines listed |
+      | run at an endpoint that breaks off        | is dropped            |
+      | stream from an endpoint that breaks off   | is dropped            |
+
+  # Guards against a request without a cache salt at a service that becomes one of engines.
+  Scenario: A request that was about to be sent to a plain service is not sent to its engines
+    Given a platform with a configuration
+    And the model endpoints "lm-1" and "lm-2" of "lm"
+    And a gateway
+    When the service "lm" gets its engines while a request for it connects to an endpoint
+    Then each team's requests ran with one salt, and on the weights that it names
+
+  # Guards against a request without a cache salt at engines of which the configuration knows nothing.
+  Scenario: A request with a prompt for a service that is not configured is refused
+    Given a platform with a configuration
+    And the model endpoints "lm-1" and "lm-2" of "lm"
+    And a gateway
+    When the service "lm" is dropped, but not its route
+    And "clerks" sends a request that may be refused
+    Then it is refused at once with 503, and nothing ran
+
   # Guards against a router that restarts using another namespace than the others.
   Scenario: A router uses the same namespaces after its restart
     Given a platform with a configuration
--- a/features/gateway_software_versions.feature
+++ b/features/gateway_software_versions.feature
@@ -342,6 +342,16 @@
     When 4 callers stream "/classify/" from "lm-1", whose entry is written before it breaks off
     Then each caller got the events 1 to 2 of software "v2" and the end within 2 seconds
 
+  # Guards against a response that goes on at other software, as its service is no longer configured
+  # and the process was therefore not asked when it started.
+  Scenario: A response is not continued at an endpoint that restarted when its service was dropped
+    Given a platform with a configuration
+    And the endpoints "lm-1 lm-2" of software "v1"
+    And a gateway
+    And the endpoint "lm-2" restarts with software "v2", and its entry stays
+    When 4 callers stream "/classify/" from "lm-1", whose service is dropped before it breaks off
+    Then each caller got the first events of software "v1" only and the end within 3 seconds
+
   # Guards against a stream that goes on at the version of a process that has ended: its last
   # heartbeat arrives after the crash, before the entry of the next process.
   Scenario Outline: Only heartbeats after a crash show that the entry still holds
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -85,6 +85,15 @@
     } | changes
 
 
+def replaced_engines() -> dict:
+    """Return the routes and services of a configuration that replaces the service "lm" by another."""
+    document = configuration()
+    app, engines = document["services"]
+    for item in document["routes"]:
+        item["service"] = item["service"].replace("lm", "lm-new")
+    return {"routes": document["routes"], "services": [app, engines | {"name": "lm-new"}]}
+
+
 @dataclasses.dataclass(frozen=True)
 class Reply:
     """Response as seen by a caller.
@@ -137,6 +146,17 @@
         self.store.put("servers", identity, worker.entry())
         return worker
 
+    def configure(self, **changes) -> None:
+        """Put the next version of the configuration, and wait until the gateways have it.
+
+        Args:
+          **changes: Fields that differ from the default.
+        """
+        version = self.gateways[0].cluster_state.configuration.version + 1
+        self.store.put("op", "config", configuration(version, **changes))
+        for found in self.gateways:
+            wait_for(lambda state=found.cluster_state: state.configuration.version == version)
+
     def settings(self, **changes) -> settings.GatewaySettings:
         """Return the settings of the next gateway.
 
--- a/features/steps/gateway_software_versions_steps.py
+++ b/features/steps/gateway_software_versions_steps.py
@@ -430,12 +430,25 @@
     '{count:d} callers stream "{path}" from "{name}", whose entry is written before it breaks off'
 )
 def step_stream_entry(context, count, path, name):
+    stream_and_change(context, count, path, name, lambda: write_entry(context, name))
+
+
+@when(
+    '{count:d} callers stream "{path}" from "{name}", whose service is dropped before it breaks off'
+)
+def step_stream_dropped(context, count, path, name):
+    changes = gateway_support.replaced_engines()
+    stream_and_change(context, count, path, name, lambda: context.site.configure(**changes))
+
+
+def stream_and_change(context, count, path, name, change) -> None:
+    """Stream from an endpoint that breaks off after a change."""
     worker = context.site.workers[name]
     worker.fault = standin_worker.Fault.CUT_STREAM
     worker.event_seconds = 0.4
     running = begin(context, count, path, name, standin_worker.STREAM_EVENTS)
     gateway_support.wait_for(lambda: all(caller.events for caller in context.callers))
-    write_entry(context, name)
+    change()
     assert all(len(caller.events) < 3 for caller in context.callers)
     gevent.joinall(running)
 
@@ -472,6 +485,10 @@
     'each caller got the first events of software "{software}" only and the end within {seconds:g} '
     "second"
 )
+@then(
+    'each caller got the first events of software "{software}" only and the end within {seconds:g} '
+    "seconds"
+)
 def step_cut_early(context, software, seconds):
     for caller in context.callers:
         (attempt,) = caller.attempts
