Keep requests of a dropped or formerly isolated team out of the shared namespace

Cause: the namespace was that of the teams isolated in the configuration in force, and a team that is not listed is none of them. Evidence: the salt of the waiting request was that of the new shared namespace, in the choice and in the request alike.

Change: Job.namespace_in gives the team its own namespace if it was isolated at the request's admission, is so now, or is not listed now. It can only be stricter than before, as nobody else ever uses that namespace.

--- a/bronzemux/gateway/cache_index.py
+++ b/bronzemux/gateway/cache_index.py
@@ -47,10 +47,15 @@
       The namespace, empty for that of all teams while none is isolated.
     """
     if team is not None and team.name in isolated_teams:
-        return f"team-{_digest(team.name)}"
+        return team_namespace(team)
     return _shared_namespace(isolated_teams)
 
 
+def team_namespace(team: model.Team) -> str:
+    """Return the namespace that only one team uses."""
+    return f"team-{_digest(team.name)}"
+
+
 @functools.lru_cache
 def _shared_namespace(isolated_teams: frozenset[str]) -> str:
     if not isolated_teams:
--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -251,7 +251,7 @@
         prompt = self.job.request.prompt
         if prompt is not None and self.choice.weights is not None:
             configuration = self.components.cluster_state.configuration
-            namespace = cache_index.namespace_of(self.job.team, configuration.isolated_teams)
+            namespace = self.job.namespace_in(configuration)
             self.salt = placement.cache_salt(prompt.model, self.choice.weights, namespace)
 
     def _read_final_head(self) -> http1.Head | None:
--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -492,7 +492,7 @@
             return next(filter(None, choices), None)
         requirements = placement.Requirements(
             prompt,
-            cache_index.namespace_of(job.team, config.isolated_teams),
+            job.namespace_in(config),
             job.route.objective_seconds,
             self._newest_version_before(prompt.model, now - self._max_weights_age_seconds()),
             self._newest_version_before(prompt.model, now - STALE_WEIGHTS_GRACE_SECONDS),
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -135,6 +135,20 @@
         service = configuration.services.get(self.service)
         return (service.engine if service is not None else None) or self.engine
 
+    def namespace_in(self, configuration: model.Configuration) -> str:
+        """Return the namespace of its prompt parts; see `cache_index.namespace_of`.
+
+        A team that was isolated at its admission still is for this request, and one that the
+        configuration in force does not list may have been isolated in between.
+
+        Args:
+          configuration: The configuration in force.
+        """
+        team = self.team
+        if team is not None and (team.is_isolated or team.name not in configuration.team_names):
+            return cache_index.team_namespace(team)
+        return cache_index.namespace_of(team, configuration.isolated_teams)
+
     @property
     def may_have_run(self) -> bool:
         """Return whether an endpoint may have executed the request, or may still do so."""
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -168,6 +168,7 @@
       limits: Limits that apply to callers.
       teams: Teams by key digest; empty when the configuration defines none.
       isolated_teams: Names of the isolated teams, also of those without keys.
+      team_names: Names of all teams, also of those without keys.
       has_teams: Whether requests need an API key, except on anonymous routes.
     """
 
@@ -178,6 +179,7 @@
     teams: Mapping[bytes, Team] = dataclasses.field(default_factory=dict)
     has_teams: bool = False
     isolated_teams: frozenset[str] = frozenset()
+    team_names: frozenset[str] = frozenset()
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a request, None when none matches.
--- a/bronzemux/platform/documents.py
+++ b/bronzemux/platform/documents.py
@@ -1,5 +1,6 @@
 """Decoders of the operator's documents and of the endpoints' entries in the platform's store."""
 
+import dataclasses
 import reprlib
 
 from bronzemux.gateway import cluster_state, model
@@ -67,12 +68,15 @@
     services = [
         decode_service(fields.table(s, "service")) for s in fields.items(document, "services")
     ]
-    teams, isolated_teams = {}, set()
-    for item in fields.items(document, "tenants", []):
-        team = decode_team(fields.table(item, "tenant"))
+    entries = [
+        decode_team(fields.table(item, "tenant")) for item in fields.items(document, "tenants", [])
+    ]
+    # A team with several entries is isolated if any of them says so.
+    isolated_teams = frozenset(team.name for team in entries if team.is_isolated)
+    teams = {}
+    for entry in entries:
+        team = dataclasses.replace(entry, is_isolated=entry.name in isolated_teams)
         teams.update(dict.fromkeys(team.key_digests, team))
-        if team.is_isolated:
-            isolated_teams.add(team.name)
     return model.Configuration(
         version=fields.integer(document, "version"),
         routes={
@@ -83,7 +87,8 @@
         limits=decode_limits(fields.table(document.get("limits") or {}, "limits")),
         teams=teams,
         has_teams="tenants" in document,
-        isolated_teams=frozenset(isolated_teams),
+        isolated_teams=isolated_teams,
+        team_names=frozenset(team.name for team in entries),
     )
 
 
--- a/features/cache_namespace.feature
+++ b/features/cache_namespace.feature
@@ -39,6 +39,24 @@
     And "clerks" sends a request
     Then the second request does not use the namespace of the first
 
+  # Guards against a request that was sent while its team was isolated, or whose team is no longer
+  # known, sharing parts with others after the configuration changed.
+  Scenario Outline: A request that waits while its team <change> shares no parts with others
+    Given a platform with a configuration
+    And the model endpoints "lm-1" and "lm-2" of "lm"
+    And a gateway
+    When the teams "<before>" are isolated, and "clerks" sends a request
+    And a request of "lawyers" <state> until the team <change>
+    And "clerks" sends a request
+    Then no two teams' requests ran with one salt
+
+    Examples:
+      | before  | state                         | change               |
+      | lawyers | waits                         | is dropped           |
+      | lawyers | runs at a failing endpoint    | is dropped           |
+      | none    | waits                         | is dropped           |
+      | lawyers | waits                         | is no longer isolated |
+
   # Guards against requests without a cache salt, which use what any team computed, after their
   # service was dropped.
   Scenario Outline: A request keeps its namespace and its weights when its service is dropped while it <state>
--- a/features/steps/cache_namespace_steps.py
+++ b/features/steps/cache_namespace_steps.py
@@ -94,6 +94,33 @@
     send_waiting(context, [team], lambda: isolate(context, team))
 
 
+@when('a request of "{team}" {state} until the team {change}')
+def step_wait_until(context, team, state, change):
+    def apply() -> None:
+        if change == "is no longer isolated":
+            isolate(context, "none")
+        else:
+            rest = [
+                {"name": n, "api_keys": [k]} for n, k in gateway_support.KEYS.items() if n != team
+            ]
+            context.site.configure(tenants=rest)
+
+    if state == "waits":
+        send_waiting(context, [team], apply)
+    else:
+        send_interrupted(context, [team], standin_worker.Fault.RUN_AND_RESET, apply)
+
+
+@then("no two teams' requests ran with one salt")
+def step_separate_salts(context):
+    teams_by_salt = {}
+    for worker in context.site.workers.values():
+        for seen in worker.executed:
+            teams_by_salt.setdefault(seen.fields["cache-salt"], set()).add(seen.fields["tenant"])
+    assert all(len(teams) == 1 for teams in teams_by_salt.values()), teams_by_salt
+    assert len(set.union(*teams_by_salt.values())) == len(gateway_support.KEYS)
+
+
 def move_route(context, without: str) -> None:
     """Move the routes of "lm" to a new service.
 
