Describe all parts of a prompt to the quarantine

Cause: a request was described by the fingerprints of its first 64 shared parts, to bound what it adds to the evidence; parts behind the 256th were not even read. Evidence: 69 parts before the crashing one fail also if they are new in each request, so neither the soundness of parts nor the size of the evidence explains it; with one to three parts all is well.

Change: all parts are described, also those of a malformed description, as the size of a head bounds them. Reports of crashes and messages of verdicts are bounded by their fingerprints instead; of those of one request the most suspected go first. This works as the evidence for a part no longer depends on where it stands.

--- a/bronzemux/gateway/forwarder.py
+++ b/bronzemux/gateway/forwarder.py
@@ -176,7 +176,7 @@
             begun=result.has_begun,
             counted=result.is_crash,
             fingerprint=job.content_fingerprint,
-            parts=",".join(part.id for part in prompt.shared_parts) if prompt else "",
+            parts=",".join(prompt.part_ids[:-1]) if prompt else "",
         )
 
     def _may_retry(self, job: jobs.Job, result) -> bool:
--- a/bronzemux/gateway/job.py
+++ b/bronzemux/gateway/job.py
@@ -26,8 +26,6 @@
 
 # A request with less time than this left is not sent to another endpoint.
 MIN_ATTEMPT_SECONDS = 0.01
-# Limits what a prompt with very many parts adds to the evidence of a crash.
-MAX_PART_FINGERPRINTS = 64
 # Engines distinguish ten urgencies, from 0, the most urgent, to this one.
 MAX_URGENCY = 9
 # Number of urgencies for each priority of a team; they represent the priorities of routes.
@@ -94,6 +92,7 @@
     def part_fingerprints(self) -> tuple[str, ...]:
         """Return the fingerprints of the prompt's shared parts, in their order.
 
+        Any part may crash endpoints, so all are described; the size of a request's head bounds them.
         Parts with one id are the same for all teams, except for teams that share none.
         """
         prompt = self.request.prompt
@@ -101,8 +100,8 @@
             return ()
         scope = self.team.name if self.team is not None and self.team.is_isolated else ""
         return tuple(
-            quarantine.fingerprint(scope, f"{prompt.model}\0{part.id}".encode())
-            for part in prompt.shared_parts[:MAX_PART_FINGERPRINTS]
+            quarantine.fingerprint(scope, f"{prompt.model}\0{identity}".encode())
+            for identity in prompt.part_ids[:-1]
         )
 
     @functools.cached_property
@@ -113,7 +112,7 @@
         in all else.
         """
         request, prompt = self.request, self.request.prompt
-        parts = ",".join(part.id for part in prompt.parts) if prompt is not None else ""
+        parts = ",".join(prompt.part_ids) if prompt is not None else ""
         content = f"{request.method} {request.host} {request.target}\0{parts}\0".encode()
         team = self.team.name if self.team else ""
         return quarantine.fingerprint(team, content, request.body)
--- a/bronzemux/gateway/model.py
+++ b/bronzemux/gateway/model.py
@@ -288,13 +288,20 @@
       model: Name of the model.
       tokens: Length of the whole prompt in tokens.
       max_output_tokens: Most tokens to generate.
-      parts: Parts in order; the last one is specific to the request or its session.
+      parts: Parts in order, as far as they are used for routing.
+      further_part_ids: Ids of the parts that follow; of all parts if their description is malformed.
     """
 
     model: str
     tokens: int
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
+    further_part_ids: tuple[str, ...] = ()
+
+    @functools.cached_property
+    def part_ids(self) -> tuple[str, ...]:
+        """Return the ids of all parts; the last one is specific to the request or its session."""
+        return (*(part.id for part in self.parts), *self.further_part_ids)
 
     @property
     def memory_tokens(self) -> int:
--- a/bronzemux/gateway/quarantine_gossip.py
+++ b/bronzemux/gateway/quarantine_gossip.py
@@ -1,15 +1,17 @@
 """Exchange of crashes, cleared suspects and verdicts between gateways."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from bronzemux import clock as clocks
 from bronzemux import quarantine
 from bronzemux.gateway import crash_attribution, gossip, relaying, routers
 
-# Most verdicts in one message, the newest first.
+# Most verdicts in one message, the newest first, and most fingerprints in all of them.
 MAX_SENT_VERDICTS = 100
-# Most lost requests in the report of one crash.
+MAX_SENT_FINGERPRINTS = 8192
+# Most lost requests in the report of one crash, and most fingerprints of all of them.
 MAX_REPORTED_REQUESTS = 128
+MAX_REPORTED_FINGERPRINTS = 8192
 # Longest age or term that is taken from another router or from the store.
 MAX_AGE_MS = 3_600_000
 
@@ -50,9 +52,15 @@
 
     def _on_crash(self, incarnation: str, lost: list[quarantine.LostRequest]) -> None:
         now = self.clock.monotonic()
+        reported = lost[:MAX_REPORTED_REQUESTS]
+        share = MAX_REPORTED_FINGERPRINTS // max(1, len(reported))
+        suspects = self.crashes.quarantine
         reports = tuple(
-            gossip.LostReport(item.fingerprints, _milliseconds(now - item.sent_at))
-            for item in lost[:MAX_REPORTED_REQUESTS]
+            gossip.LostReport(
+                suspects.most_suspected(item.fingerprints, share, now),
+                _milliseconds(now - item.sent_at),
+            )
+            for item in reported
         )
         self.crash_updates.add(gossip.CrashReport(incarnation, reports))
         self.announce()
@@ -86,7 +94,7 @@
         verdicts = ()
         if is_regular or crashes or self.has_new_verdict:
             active = self.crashes.quarantine.active(now)[:MAX_SENT_VERDICTS]
-            verdicts = tuple(report(verdict, now) for verdict in active)
+            verdicts = tuple(report(verdict, now) for verdict in _first_of(active))
         if is_regular:
             self.has_new_verdict = False
         if not (crashes or cleared or verdicts):
@@ -126,6 +134,15 @@
             self.crashes.apply_crash(item.incarnation, lost, "version 0.2.0")
 
 
+def _first_of(verdicts: list[quarantine.Verdict]) -> Iterator[quarantine.Verdict]:
+    """Yield the first verdicts, as many as have at most `MAX_SENT_FINGERPRINTS` together."""
+    count = 0
+    for verdict in verdicts:
+        if count + len(verdict.members) <= MAX_SENT_FINGERPRINTS:
+            count += len(verdict.members)
+            yield verdict
+
+
 def report(verdict: quarantine.Verdict, now: float) -> gossip.VerdictReport:
     """Return the report of a verdict.
 
--- a/bronzemux/gateway/verdict_store.py
+++ b/bronzemux/gateway/verdict_store.py
@@ -12,6 +12,8 @@
 KEY_PREFIX = "quarantine/"
 # Most rows in one response of the store.
 MAX_ROWS = 500
+# Verdicts with more fingerprints might not fit into a row; the other gateways know them.
+MAX_STORED_FINGERPRINTS = 1000
 # Verdicts that wait for the store; older ones are dropped, as the other gateways know them.
 MAX_PENDING = 100
 INTERVAL_SECONDS = 0.25
@@ -68,6 +70,9 @@
 
     def _add_own(self, verdict: quarantine.Verdict) -> None:
         in_force = {item.members for item in self._in_force()}
+        if len(verdict.members) > MAX_STORED_FINGERPRINTS:
+            logs.event("verdict_not_stored", fingerprints=len(verdict.members))
+            return
         self.own = self.own & in_force | {verdict.members}
         self.pending.append(verdict)
 
@@ -107,7 +112,9 @@
         lost = [
             verdict
             for verdict in self._in_force()
-            if verdict.members not in queued and (is_following or verdict.members in self.own)
+            if verdict.members not in queued
+            and len(verdict.members) <= MAX_STORED_FINGERPRINTS
+            and (is_following or verdict.members in self.own)
         ]
         logs.event("verdicts_rewritten", era=era, verdicts=len(lost))
         self.pending.extend(lost[:MAX_PENDING])
--- a/bronzemux/platform/headers.py
+++ b/bronzemux/platform/headers.py
@@ -30,7 +30,7 @@
 MISDIRECTED_REQUEST = 421
 # Unlike `str.isdigit`, matches only what `int` accepts.
 NUMBER_PATTERN = re.compile(r"[0-9]{1,15}\Z")
-# Parts of a prompt that are used for routing; further ones are only forwarded.
+# Parts of a prompt that are used for routing; of further ones only the ids are.
 MAX_PROMPT_PARTS = 256
 TOKEN_COUNT_PATTERN = re.compile(r" *[0-9]{1,9} *\Z")
 
@@ -242,21 +242,32 @@
 
     Returns:
       The description, or None when the request names no model. When the other fields are
-      malformed, the description has no tokens and no parts.
+      malformed, the description has no tokens, and of the parts only the ids.
     """
     name = head.get(MODEL)
     if not name:
         return None
+    entries = [
+        entry.strip().partition(":")
+        for entry in (head.get(PROMPT_PREFIX) or "").split(",")
+        if entry
+    ]
+    identities = tuple(identity for identity, _, _ in entries)
     try:
         tokens, _, output = (head.get(TOKEN_COUNTS) or "0").partition(",")
-        parts = []
-        entries = (head.get(PROMPT_PREFIX) or "").split(",", MAX_PROMPT_PARTS)
-        for entry in filter(None, entries[:MAX_PROMPT_PARTS]):
-            identity, _, length = entry.strip().partition(":")
-            parts.append(model.PromptPart(identity, _token_count(length)))
-        return model.Prompt(name, _token_count(tokens), _token_count(output or "0"), tuple(parts))
+        parts = tuple(
+            model.PromptPart(identity, _token_count(length))
+            for identity, _, length in entries[:MAX_PROMPT_PARTS]
+        )
+        return model.Prompt(
+            name,
+            _token_count(tokens),
+            _token_count(output or "0"),
+            parts,
+            identities[MAX_PROMPT_PARTS:],
+        )
     except ValueError:
-        return model.Prompt(name, 0, 0)
+        return model.Prompt(name, 0, 0, further_part_ids=identities)
 
 
 def _token_count(text: str) -> int:
--- a/bronzemux/quarantine.py
+++ b/bronzemux/quarantine.py
@@ -275,6 +275,24 @@
             return 0
         return max((self._suspicion(name, now) for name in fingerprints), default=0)
 
+    def most_suspected(
+        self, fingerprints: Sequence[str], count: int, now: float
+    ) -> tuple[str, ...]:
+        """Return the fingerprints that were lost in the most crashes, in their given order.
+
+        Args:
+          fingerprints: The fingerprints.
+          count: Largest number to return; of equal ones the last are returned.
+          now: Monotonic seconds.
+        """
+        if len(fingerprints) <= count:
+            return tuple(fingerprints)
+        ranked = sorted(
+            range(len(fingerprints)),
+            key=lambda position: (self._suspicion(fingerprints[position], now), position),
+        )
+        return tuple(fingerprints[position] for position in sorted(ranked[-count:]))
+
     def prime_suspect(self, fingerprints: Iterable[str], now: float) -> str:
         """Return the last of the fingerprints with the most crashes, empty without suspicion."""
         best, best_count = "", 0
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -1,8 +1,20 @@
 """Steps for prompt parts that crash endpoints."""
 
+import types
+
 import gevent
 from behave import given, then, when
 
+from bronzemux import clock, quarantine, table
+from bronzemux.gateway import (
+    crash_attribution,
+    endpoints,
+    gossip,
+    meters,
+    quarantine_gossip,
+    routers,
+    verdict_store,
+)
 from bronzemux.platform import standin_store
 from features import gateway_support
 
@@ -49,16 +61,48 @@
     '{count:d} requests with the parts "{parts}" arrive at the gateways in turn, each after a sound one'
 )
 def step_requests(context, count, parts):
+    send_after_sound(
+        context,
+        count,
+        lambda number: prompt_prefix(SOUND_PARTS, number),
+        lambda number: prompt_prefix(parts, number),
+    )
+
+
+@when(
+    '{count:d} requests with {before:d} {kind} parts before "{part}" arrive at the gateways in turn, '
+    "each after a sound one"
+)
+def step_requests_after_parts(context, count, before, kind, part):
+    def prefix(number: int, last: str) -> str:
+        owner = number if kind == "new" else 0
+        length = "many" if kind == "misdescribed" else "1"
+        names = [f"{owner:04x}{n:04x}:{length}" for n in range(before)]
+        return ",".join([*names, f"{last.encode().hex()}:20", f"{number:08x}:20"])
+
+    send_after_sound(
+        context, count, lambda number: prefix(number, "sound"), lambda number: prefix(number, part)
+    )
+
+
+def send_after_sound(context, count: int, sound_prefix, prefix) -> None:
+    """Send requests to the gateways in turn, each after a sound one.
+
+    Args:
+      count: Number of requests of each kind.
+      sound_prefix: Returns the description of a sound prompt by number.
+      prefix: Returns that of a prompt that crashes endpoints.
+    """
     site = context.site
     context.replies, context.sound = [], []
     for number in range(count):
         index = number % len(site.gateways)
-        prefix = prompt_prefix(SOUND_PARTS, 1000 + number)
-        sound = site.send("/classify/1", index, Prompt_Prefix=prefix)
+        sound = site.send("/classify/1", index, Prompt_Prefix=sound_prefix(1000 + number))
         context.sound.append((crashed(site), sound))
         before = sum(worker.arrivals for worker in site.workers.values())
-        prefix = prompt_prefix(parts, number)
-        reply = site.send("/classify/1", index, body=f"{number}".encode(), Prompt_Prefix=prefix)
+        reply = site.send(
+            "/classify/1", index, body=f"{number}".encode(), Prompt_Prefix=prefix(number)
+        )
         arrived = sum(worker.arrivals for worker in site.workers.values()) - before
         context.replies.append((reply, arrived))
         gevent.sleep(0.6)
@@ -136,3 +180,94 @@
 def step_no_arrival(context, count):
     arrivals = sum(worker.arrivals for worker in context.site.workers.values())
     assert arrivals == context.arrivals, arrivals - context.arrivals
+
+
+# What gateways tell each other
+
+
+def make_attribution(context) -> crash_attribution.CrashAttribution:
+    """Return the attribution of crashes of a gateway that has met none."""
+    context.clock = clock.FakeClock()
+    context.clock.advance(1000.0)
+    return crash_attribution.CrashAttribution(
+        context.clock,
+        quarantine.Quarantine(),
+        endpoints.EndpointTable(),
+        None,
+        meters.GatewayMetrics(),
+        lambda: None,
+    )
+
+
+@when(
+    "two endpoints crash with {count:d} requests of {parts:d} parts each, of which one part is the "
+    "same"
+)
+def step_long_crashes(context, count, parts):
+    crashes = make_attribution(context)
+    exchange = quarantine_gossip.QuarantineGossip(crashes, context.clock, lambda: None)
+    context.reports = []
+    for incarnation in ("lm-1/1", "lm-2/1"):
+        context.clock.advance(1.0)
+        lost = []
+        for number in range(count):
+            names = [f"{incarnation}-{number}-{part}" for part in range(parts - 1)]
+            names.insert(number, "dead")
+            lost.append(quarantine.LostRequest(tuple(names), context.clock.monotonic()))
+        crashes.apply_crash(incarnation, lost, "own")
+        for listener in crashes.on_crash:
+            listener(incarnation, lost)
+        context.reports += exchange.crash_updates.pop_all(routers.Audience.FELLOW)
+
+
+@then("the reports of the crashes have at most {count:d} fingerprints")
+def step_report_size(context, count):
+    assert len(context.reports) == 2
+    for report in context.reports:
+        found = sum(len(item.fingerprints) for item in report.lost)
+        assert 0 < found <= count, found
+
+
+@then("the report of the second crash has that part of each request")
+def step_report_part(context):
+    assert all("dead" in item.fingerprints for item in context.reports[1].lost)
+
+
+@then(
+    "of {verdicts:d} verdicts of {members:d} fingerprints a message has at most {count:d} fingerprints"
+)
+def step_verdict_messages(context, verdicts, members, count):
+    crashes = make_attribution(context)
+    exchange = quarantine_gossip.QuarantineGossip(crashes, context.clock, lambda: None)
+    for number in range(verdicts):
+        crashes.apply_verdict(make_verdict(context, number, members), "test")
+    now = context.clock.monotonic()
+    (message,) = exchange.messages_for(
+        gossip.Router("vm-1", 1, "127.0.0.1:1", "127.0.0.1:2", "a", True),
+        routers.Audience.FELLOW,
+        now,
+        True,
+    )
+    found = sum(len(item.members) for item in message.verdicts)
+    assert members <= found <= count, found
+
+
+def make_verdict(context, number: int, members: int) -> quarantine.Verdict:
+    """Return a verdict with some members that no other one has."""
+    names = frozenset(f"{number}-{member}" for member in range(members))
+    return quarantine.Verdict(names, f"e{number}/1", context.clock.monotonic(), 120.0)
+
+
+@then("a verdict of {long:d} fingerprints is not written to the store, one of {short:d} is")
+def step_verdict_rows(context, long, short):
+    crashes, service = make_attribution(context), table.MemoryTable()
+    following = types.SimpleNamespace(is_needed=lambda: True)
+    task = verdict_store.VerdictStore(crashes, service, following, context.clock)
+    for number, members in enumerate((long, short)):
+        verdict = make_verdict(context, number, members)
+        crashes.apply_verdict(verdict, "test")
+        for listener in crashes.on_verdict:
+            listener(verdict)
+    task.tick()
+    (row,) = service.scan(verdict_store.KEY_PREFIX, 10)
+    assert row.key == verdict_store.row_key(make_verdict(context, 1, short))
