Describe long chats to the quarantine of the product interface

A message that crashes engines was never kept away if 128 beginnings of the prompt precede it, which 127 messages are.

Cause: that of the gateway's parts, a bound that drops by position. Change: 2,048 beginnings, those that end after a message before those that end after a piece of text, as prompts differ from a message on.

--- a/bronzemux/prompt.py
+++ b/bronzemux/prompt.py
@@ -7,7 +7,8 @@
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
-MAX_PREFIXES = 128
+# Bounds what one prompt adds to the evidence of a crash; far above the messages of a long chat.
+MAX_PREFIXES = 2048
 
 
 def render(path: str, body: Mapping) -> bytes:
@@ -34,7 +35,7 @@
     """Return the lengths of the beginnings of a prompt that other prompts are likely to share.
 
     They end after each message, and after each piece. Of more than `MAX_PREFIXES`, the shortest are
-    returned.
+    returned, and those that end after a message before the others: prompts differ from a message on.
 
     Args:
       path: `CHAT_PATH` or `TEXT_PATH`.
@@ -51,7 +52,8 @@
         texts = [_text(body["prompt"])]
     ends = list(itertools.accumulate(len(text.encode()) for text in texts))
     pieces = range(piece_bytes, ends[-1] + 1, piece_bytes)
-    return sorted({*ends, *pieces})[:MAX_PREFIXES]
+    found = dict.fromkeys([*ends[:MAX_PREFIXES], *pieces])
+    return sorted(itertools.islice(found, MAX_PREFIXES))
 
 
 def token_estimate(prompt: bytes) -> int:
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -228,13 +228,26 @@
 
 @when('team "{team}" sends {count:d} prompts that begin with the poison text')
 def step_send_poison_prefix(context, team, count):
+    for number in range(count):
+        send_chat(context, team, [context.poison, f"question {number}"])
+
+
+@when('team "{team}" continues a chat of {length:d} messages {count:d} times with the poison text')
+def step_continue_chat(context, team, length, count):
+    chat = [f"message {number}" for number in range(length)]
+    for number in range(count):
+        send_chat(context, team, [*chat, f"sound {number}"])
+        assert context.reply.status == 200, context.reply
+        send_chat(context, team, [*chat, context.poison, f"question {number}"])
+
+
+def send_chat(context, team: str, contents: list[str]) -> None:
+    """Send a chat of some messages of a team to the first router."""
     address = support.router_address(context.deployment)
+    messages = [{"role": "user", "content": content} for content in contents]
+    body = callers_steps.chat(messages=messages)
     key = context.deployment.key(team)
-    for number in range(count):
-        contents = [context.poison, f"question {number}"]
-        messages = [{"role": "user", "content": content} for content in contents]
-        body = callers_steps.chat(messages=messages)
-        context.reply = support.send(address, "POST", callers_steps.CHAT, key, body)
+    context.reply = support.send(address, "POST", callers_steps.CHAT, key, body)
 
 
 @then("at most {count:d} engines have crashed")
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -97,6 +97,16 @@
     And team "caseworkers" streams a chat through router 1
     And the response is complete, with 16 words
 
+  # Guards against a message that is never kept away from engines, as a long chat precedes it.
+  Scenario: A text that crashes engines stops reaching them where a long chat precedes it
+    Given engines crash on the text "poison"
+    When team "caseworkers" continues a chat of 150 messages 2 times with the poison text
+    And team "caseworkers" continues a chat of 150 messages 2 times with the poison text
+    Then at most 3 engines have crashed
+    And the error is "request_quarantined"
+    And team "caseworkers" streams a chat through router 1
+    And the response is complete, with 16 words
+
   Scenario: A request that crashes every engine is quarantined and other requests are served
     Given engines crash on the text "poison"
     When team "caseworkers" sends the poison text
