Break off a response without length whose endpoint ended before it had the request

Cause: the end of the stream was taken for the end of the body, while bytes of the request were still on their way to a socket that was closed. Change: if the remote end has not acknowledged the whole request, the channel goes on sending for up to 0.25 s. A reset breaks the response off; an acknowledgement shows that the remote end receives. This tells a closed socket from one that is shut down for sending only, as only the former resets.

--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -6,10 +6,13 @@
 itself, with the same rules for callers and endpoints.
 """
 
+import fcntl
 import io
+import os
 import re
 import select
 import socket
+import struct
 from collections.abc import Callable, Iterator
 
 import gevent
@@ -39,6 +42,12 @@
 TARGET_PATTERN = re.compile(rb"/[\x21-\x7e]*\Z")
 DIGITS_PATTERN = re.compile(rb"[0-9]{1,12}\Z")
 CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,8}\Z")
+# Request of Linux for the bytes of a TCP connection that the remote end has not acknowledged.
+SIOCOUTQ = 0x5411
+QUEUE_LENGTH = struct.Struct("i")
+# A few round trips within a region. A process that has ended resets the connection in one.
+END_CHECK_SECONDS = 0.01
+END_CHECKS = 25
 BODILESS_STATUSES = frozenset({204, 304})
 CONNECTION_FIELDS = frozenset(
     {
@@ -217,6 +226,8 @@
     Attributes:
       unsent: Rest of the last request, which the remote end has not accepted.
       is_sending: Whether that rest is sent while the response is read.
+      is_request_needed: Whether a response without length counts only if the remote end has received
+        the request.
       send_error: Error that broke the connection during the sending, None without one.
       is_message_complete: Whether the last message was received up to the end that its framing gives.
       is_close_announced: Whether the last head announced that the connection is closed.
@@ -237,6 +248,7 @@
         # What follows `unsent`.
         self.unsent_body = memoryview(b"")
         self.is_sending = False
+        self.is_request_needed = False
         self.send_error: OSError | None = None
         self.is_message_complete = False
         self.is_close_announced = False
@@ -396,6 +408,42 @@
             data = bytes(self.buffer)
             self.buffer.clear()
             yield data
+        if self.is_request_needed:
+            self._check_end()
+
+    def _check_end(self) -> None:
+        """Check that the end of the stream is not that of a process which ended too early.
+
+        A socket that is closed before it has received the whole request ends the stream in order.
+        The next bytes that reach it reset the connection, while one that is only shut down for
+        sending acknowledges them.
+
+        Raises:
+          EndOfStreamError: When the connection was reset before the request was received.
+        """
+        waiting_bytes = self._unacknowledged_bytes()
+        for _ in range(END_CHECKS):
+            if not waiting_bytes:
+                return
+            gevent.sleep(END_CHECK_SECONDS)
+            if self.is_sending:
+                self._send_available()
+            error = self.send_error or self._pending_error()
+            if error is not None:
+                raise EndOfStreamError(f"connection lost: {error}", is_reset=True) from error
+            remaining_bytes = self._unacknowledged_bytes()
+            if remaining_bytes < waiting_bytes:
+                return
+
+    def _unacknowledged_bytes(self) -> int:
+        """Return how much of the last request the remote end has not acknowledged."""
+        queued = fcntl.ioctl(self.sock.fileno(), SIOCOUTQ, bytes(QUEUE_LENGTH.size))
+        return len(self.unsent) + len(self.unsent_body) + QUEUE_LENGTH.unpack(queued)[0]
+
+    def _pending_error(self) -> OSError | None:
+        """Return the error of the connection, None without one; it is reported once."""
+        number = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return OSError(number, os.strerror(number)) if number else None
 
     def _iter_chunks(self) -> Iterator[bytes]:
         chunks = 0
@@ -465,7 +513,7 @@
         self.unsent, self.unsent_body = memoryview(data), memoryview(body)
         if len(body) <= READ_BYTES:
             self.unsent, self.unsent_body = memoryview(data + body), memoryview(b"")
-        self.is_sending = True
+        self.is_sending = self.is_request_needed = True
         self.is_message_complete = False
         self.sock.settimeout(timeout)
         self._send_rest(timeout)
@@ -473,7 +521,7 @@
 
     def stop_sending(self) -> None:
         """Send no more of the last request, as the remote end does not need it."""
-        self.is_sending = False
+        self.is_sending = self.is_request_needed = False
 
     def _send_rest(self, timeout: float | None) -> None:
         """Send more of the last request, until all is sent or bytes can be read.
@@ -488,17 +536,10 @@
         self.sock.settimeout(0.0)
         try:
             while can_send:
-                try:
-                    sent_bytes = self.sock.send(self.unsent[:READ_BYTES])
-                except BlockingIOError:
+                if self._send_piece():
+                    can_send = self.is_sending and not self._is_readable()
+                else:
                     can_send = self._wait_until_writable(timeout)
-                    continue
-                self.unsent = self.unsent[sent_bytes:]
-                if not self.unsent:
-                    # An empty view would keep the whole request in memory.
-                    self.unsent, self.unsent_body = self.unsent_body, memoryview(b"")
-                    self.is_sending = bool(self.unsent)
-                can_send = self.is_sending and not self._is_readable()
         except TimeoutError:
             raise
         except OSError as error:
@@ -507,6 +548,36 @@
         finally:
             self.sock.settimeout(timeout)
 
+    def _send_available(self) -> None:
+        """Send as much of the rest of the last request as the socket takes without a wait."""
+        timeout = self.sock.gettimeout()
+        self.sock.settimeout(0.0)
+        try:
+            while self.is_sending and self._send_piece():
+                continue
+        except OSError as error:
+            self.send_error = error
+            self.is_sending = False
+        finally:
+            self.sock.settimeout(timeout)
+
+    def _send_piece(self) -> bool:
+        """Send a piece of the rest of the last request; return False when the socket takes none.
+
+        Raises:
+          OSError: When the connection is lost.
+        """
+        try:
+            sent_bytes = self.sock.send(self.unsent[:READ_BYTES])
+        except BlockingIOError:
+            return False
+        self.unsent = self.unsent[sent_bytes:]
+        if not self.unsent:
+            # An empty view would keep the whole request in memory.
+            self.unsent, self.unsent_body = self.unsent_body, memoryview(b"")
+            self.is_sending = bool(self.unsent)
+        return True
+
     def _wait_until_writable(self, timeout: float | None) -> bool:
         """Wait until bytes can be sent; return False when the remote end has sent some instead.
 
--- a/features/early_responses.feature
+++ b/features/early_responses.feature
@@ -54,6 +54,39 @@
     When a long request to "/status/1" gets a body ended by its channel, and the endpoint resets the connection
     Then the caller gets a complete response with status 502
 
+  # Guards against a part of a response that looks complete, as the process that sent it ended while the
+  # request was still being written: its end of the connection closes in order, and is reset only by the
+  # next bytes that reach it.
+  Scenario Outline: A response without length is not complete if its endpoint ends before it has the request: <then>
+    When a request of <size> bytes to "<path>" gets <form>, and the endpoint <then>
+    Then the caller gets no complete response with status 200
+
+    Examples:
+      | path        | form                          | size     | then                       |
+      | /status/1   | a body ended by its channel   | 12000100 | closes the connection      |
+      | /status/1   | a body ended by its channel   | 400000   | closes the connection      |
+      | /filing/1   | a body ended by its channel   | 400000   | closes the connection      |
+      | /classify/1 | a stream ended by its channel | 400000   | closes the connection      |
+      | /draft/1    | a stream ended by its channel | 400000   | closes the connection      |
+      | /status/1   | a body ended by its channel   | 12000100 | reads some bytes and ends  |
+      | /filing/1   | a body ended by its channel   | 12000100 | reads some bytes and ends  |
+      | /classify/1 | a stream ended by its channel | 12000100 | reads some bytes and ends  |
+      | /draft/1    | a stream ended by its channel | 12000100 | reads some bytes and ends  |
+      | /draft/1    | a stream ended by its channel | 3000000  | resets the connection      |
+      | /filing/1   | a body ended by its channel   | 60000    | resets the connection      |
+
+  # Guards against a complete response that is taken for a broken one, as the request is read later.
+  Scenario Outline: A response without length is complete if its endpoint still reads the request
+    When a request of <size> bytes to "<path>" gets <form>, and the endpoint <then>
+    Then the caller gets a complete response with status 200
+
+    Examples:
+      | path        | form                          | size     | then                |
+      | /status/1   | a body ended by its channel   | 400000   | reads on later      |
+      | /classify/1 | a stream ended by its channel | 3000000  | reads on later      |
+      | /filing/1   | a body ended by its channel   | 12000100 | reads on at once    |
+      | /draft/1    | a stream ended by its channel | 3000000  | reads nothing       |
+
   # Guards against a long request that is kept in memory by its idle connection.
   Scenario: A connection that has sent a long request keeps nothing of it
     When a request of 300000 bytes was sent on a connection
--- a/features/steps/early_responses_steps.py
+++ b/features/steps/early_responses_steps.py
@@ -32,12 +32,14 @@
     Attributes:
       form: Form of its early responses.
       then: What it does after an early response.
+      long_bytes: Length of the requests to which it responds early.
       received: All bytes that arrived, by connection.
     """
 
     def __init__(self, identity: str):
         self.identity = identity
         self.form = self.then = ""
+        self.long_bytes = LONG_BYTES
         self.received: list[bytearray] = []
         self.server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
@@ -67,7 +69,7 @@
                 return False
         head = http1.parse_head(bytes(received[start:end]))
         body_end = end + len(http1.HEAD_END) + int(head.get("content-length") or 0)
-        if body_end - end < LONG_BYTES:
+        if body_end - end < self.long_bytes:
             while len(received) < body_end:
                 if not receive(sock, received):
                     return False
@@ -81,16 +83,24 @@
                 if not receive(sock, received):
                     return False
         sock.sendall(rest)
+        if self.then == "reads some bytes and ends":
+            receive_available(sock, received)
+            return False
         if self.then == "resets the connection":
             gevent.sleep(LATER_SECONDS)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             return False
         if self.then == "reads nothing":
+            if "ended by its channel" in self.form:
+                sock.shutdown(socket.SHUT_WR)
             gevent.sleep(HOLD_SECONDS)
             return False
         if self.then == "closes the connection" or "ended by its channel" in self.form:
             sock.shutdown(socket.SHUT_WR)
-        gevent.sleep(LATER_SECONDS)
+        if self.then == "closes the connection" and "ended by its channel" in self.form:
+            return False
+        if self.then != "reads on at once":
+            gevent.sleep(LATER_SECONDS)
         while len(received) < body_end:
             if not receive(sock, received):
                 return False
@@ -132,6 +142,14 @@
     return bool(data)
 
 
+def receive_available(sock, received: bytearray) -> None:
+    """Append the bytes of a connection that have arrived."""
+    sock.settimeout(0.0)
+    with contextlib.suppress(BlockingIOError):
+        while receive(sock, received):
+            continue
+
+
 @given("a gateway whose endpoints respond to long requests before they read the body")
 def step_site(context):
     site = context.site = gateway_support.Site()
@@ -159,9 +177,26 @@
 
 @when('a long request to "{path}" gets {form}, and the endpoint {then_does}')
 def step_send_long(context, path, form, then_does):
+    send_early(context, path, form, then_does, LONG_BYTES)
+
+
+@when('a request of {size:d} bytes to "{path}" gets {form}, and the endpoint {then_does}')
+def step_send_size(context, size, path, form, then_does):
+    send_early(context, path, form, then_does, size)
+
+
+def send_early(context, path: str, form: str, then_does: str, size: int) -> None:
+    """Send a request of at least some size, to which the endpoints respond early."""
     for endpoint in context.endpoints.values():
-        endpoint.form, endpoint.then = form, then_does
-    context.reply = send(context, path, "clerks", bytes(range(256)) * (LONG_BYTES // 256 + 1))
+        endpoint.form, endpoint.then, endpoint.long_bytes = form, then_does, size
+    context.reply = send(context, path, "clerks", bytes(range(256)) * (size // 256 + 1))
+
+
+@then("the caller gets no complete response with status {status:d}")
+def step_not_complete(context, status):
+    reply = context.reply
+    assert reply.status != status or not reply.is_whole, reply
+    assert reply.status in (status, 502), reply
 
 
 @then("the caller gets a complete response with status {status:d}")
