Reject statuses that are none before they are compared

A worker in trouble answers with the status 000 (seen on other systems). The gateway never passed that on, but took "1" and "1000" for interim responses, so that callers waited until their deadline; http_client took 000 and 099 for interim ones and a response that followed for the call's, and returned 600 and 999.

Cause: the places that look for the final response compare the status before they know that it is one. Change: http1.response_status checks it for the search of the final response and for the framing; SingleResponse rejects what is not from 100 to 599.

--- a/bronzemux/gateway/exchange.py
+++ b/bronzemux/gateway/exchange.py
@@ -18,6 +18,8 @@
 # given fraction of that.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 MAX_RESPONSE_MEMORY_FRACTION = 1 / 64
+# Lowest status that is not one of an interim response.
+FINAL_STATUS = 200
 # Most interim responses before the final one.
 MAX_INTERIM_RESPONSES = 16
 # Time without a response after which another endpoint is tried, as a multiple of the route's
@@ -258,11 +260,11 @@
         """Return the head of the final response, None when the connection ends before it.
 
         Raises:
-          http1.FramingError: When there are too many interim responses.
+          http1.FramingError: When there are too many interim responses, or a status is malformed.
         """
         for _ in range(MAX_INTERIM_RESPONSES):
             head = self.channel.read_head()
-            if head is None or not head.start_line[1].startswith("1"):
+            if head is None or http1.response_status(head) >= FINAL_STATUS:
                 return head
             interim = self.components.protocol.decode_response(head)
             self.components.notices.record_head(self.state, interim)
--- a/bronzemux/gateway/http1.py
+++ b/bronzemux/gateway/http1.py
@@ -177,6 +177,19 @@
     return _declared_framing(head) or Framing(0)
 
 
+def response_status(head: Head) -> int:
+    """Return the status of a response.
+
+    Raises:
+      FramingError: When the status line is malformed.
+    """
+    if head.start_line[0] not in ("HTTP/1.1", "HTTP/1.0") or not re.fullmatch(
+        "[1-5][0-9][0-9]", head.start_line[1]
+    ):
+        raise FramingError(f"status line {head.start_line!r} is malformed", "check the endpoint")
+    return int(head.start_line[1])
+
+
 def response_framing(head: Head, method: str) -> Framing:
     """Return how the length of a response's body is determined.
 
@@ -187,11 +200,7 @@
     Raises:
       FramingError: When the status line or the length is malformed.
     """
-    if head.start_line[0] not in ("HTTP/1.1", "HTTP/1.0") or not re.fullmatch(
-        "[1-5][0-9][0-9]", head.start_line[1]
-    ):
-        raise FramingError(f"status line {head.start_line!r} is malformed", "check the endpoint")
-    status = int(head.start_line[1])
+    status = response_status(head)
     declared = _declared_framing(head)
     if method == "HEAD" or status in BODILESS_STATUSES or status < 200:
         return Framing(0)
--- a/bronzemux/http_client.py
+++ b/bronzemux/http_client.py
@@ -27,6 +27,7 @@
 MAX_RESPONSE_TIMEOUTS = 5
 # Far more than any event of a token stream.
 MAX_EVENT_BYTES = 1024 * 1024
+STATUSES = range(100, 600)
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
 HTTP_SERVICE_UNAVAILABLE = 503
@@ -130,6 +131,12 @@
             raise http_response.HTTPProtocolViolationError("bytes follow the response")
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        if self.get_code() not in STATUSES:
+            # The base class would wait for another response after one with a status below 200.
+            raise http_response.HTTPProtocolViolationError(f"the status {self.get_code()} is none")
+        return super()._on_headers_complete()
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
--- a/features/gateway_broken_responses.feature
+++ b/features/gateway_broken_responses.feature
@@ -37,6 +37,8 @@
       | a body without a seal |
       | another request's id  |
       | no events             |
+      | the status 000        |
+      | the status 1000       |
 
   # Guards against a stream that ends with its connection before its first event and looks complete.
   Scenario: A stream without length, chunks or events is not complete
@@ -62,6 +64,26 @@
     When a connection is shut down while its reader handles a part of a body without length
     Then the reader gets an error instead of the end of the body
 
+  # Guards against a status that is none reaching the caller, and against a caller that waits until its
+  # deadline, as the response is taken for an interim one.
+  Scenario Outline: A response with the status "<status>" to "<path>" does not reach the caller
+    When an endpoint responds to "<path>" with the status "<status>", and keeps the connection
+    Then the caller gets 502 within 1 second
+
+    Examples:
+      | status | path        |
+      | 000    | /status/1   |
+      | 000    | /filing/1   |
+      | 000    | /classify/1 |
+      | 000    | /draft/1    |
+      | 0      | /status/1   |
+      | 099    | /status/1   |
+      | 600    | /filing/1   |
+      | 1      | /status/1   |
+      | 1000   | /filing/1   |
+      | 1000   | /classify/1 |
+      | 1x0    | /draft/1    |
+
   # Guards against a request that loses its response because a header field of it is no number.
   Scenario Outline: An idle time that is no number is ignored
     When an endpoint responds with the idle time "<value>"
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -22,6 +22,20 @@
     Then each call gets the body "ab"
     And the service was called on 1 connections
 
+  # Guards against a status that is none being passed on, and against a call that waits for another
+  # response after it.
+  Scenario Outline: A response with the status "<status>" is none
+    Given a service that responds with the status "<status>", and then with 200
+    When it is called once
+    Then the call fails within 0.4 seconds, as the response is not valid
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+
   # Guards against a request that is sent in the place of the rest of a body.
   Scenario Outline: A request follows a long one only where that was sent completely
     Given a service that responds before it reads a long request, and then <does>
--- a/features/steps/gateway_broken_responses_steps.py
+++ b/features/steps/gateway_broken_responses_steps.py
@@ -3,6 +3,7 @@
 import re
 import socket
 import struct
+import time
 
 import gevent
 import gevent.pool
@@ -190,6 +191,8 @@
     ),
     "another request's id": lambda head: response(head, events(3, 4), "chunks", Request_Id="x"),
     "no events": lambda head: response(head, [], "close"),
+    "the status 000": lambda head: response(head, events(3, 4), "chunks", "000"),
+    "the status 1000": lambda head: response(head, events(3, 4), "chunks", "1000"),
 }
 
 
@@ -232,6 +235,24 @@
     context.replies = [context.site.send("/filing/1")]
 
 
+@when('an endpoint responds to "{path}" with the status "{status}", and keeps the connection')
+def step_odd_status(context, path, status):
+    def script(identity, head, seen_ids):
+        pieces, framing = (events(1, 4), "chunks") if head.get("model") else ([BODY], "length")
+        return response(head, pieces, framing, status), "keep"
+
+    context.script = script
+    started_at = time.monotonic()
+    context.replies = [context.site.send(path)]
+    context.seconds = time.monotonic() - started_at
+
+
+@then("the caller gets {status:d} within {seconds:g} second")
+def step_status_within(context, status, seconds):
+    step_status(context, status)
+    assert context.seconds < seconds, context.seconds
+
+
 @then("the caller gets {status:d}")
 def step_status(context, status):
     assert [reply.status for reply in context.replies] == [status], context.replies
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -1,6 +1,7 @@
 """Steps for the HTTP client of platform services and engines."""
 
 import contextlib
+import time
 
 import gevent
 import gevent.server
@@ -77,6 +78,30 @@
     serve(context, lambda sock, head: sock.sendall(interim + RESPONSE) is None)
 
 
+@given('a service that responds with the status "{status}", and then with 200')
+def step_status(context, status):
+    first = RESPONSE.replace(b"200", status.encode())
+    serve(context, lambda sock, head: sock.sendall(first + RESPONSE) is None)
+
+
+@when("it is called once")
+def step_call_once(context):
+    started_at = time.monotonic()
+    connection = http_client.Connection("127.0.0.1", context.port, TIMEOUTS)
+    context.cleanups.append(connection.close)
+    try:
+        context.outcome = connection.exchange("GET", "/", {}, b"")
+    except errors.EndpointError as error:
+        context.outcome = error
+    context.seconds = time.monotonic() - started_at
+
+
+@then("the call fails within {seconds:g} seconds, as the response is not valid")
+def step_not_valid(context, seconds):
+    assert isinstance(context.outcome, errors.EndpointProtocolError), context.outcome
+    assert context.seconds < seconds, context.seconds
+
+
 @given("a service that responds before it reads a long request, and then {does}")
 def step_early(context, does):
     def respond(sock, head) -> bool:
