--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -7,8 +7,8 @@
 
 import gevent
 
-from bronzemux import clock
-from bronzemux.gateway import gateway, http1, settings
+from bronzemux import clock, quarantine
+from bronzemux.gateway import crash_attribution, endpoints, gateway, http1, meters, settings
 from bronzemux.platform import assembly, standin_store, standin_worker
 from features import ports
 
@@ -257,6 +257,18 @@
         return http1.encode_head(f"{method} {path} HTTP/1.1", lines) + body
 
 
+def crash_attribution_of(now_clock: clock.Clock) -> crash_attribution.CrashAttribution:
+    """Return the attribution of crashes of a gateway that knows no endpoints and has met no crash."""
+    return crash_attribution.CrashAttribution(
+        now_clock,
+        quarantine.Quarantine(),
+        endpoints.EndpointTable(),
+        None,
+        meters.GatewayMetrics(),
+        lambda: None,
+    )
+
+
 def start_gateway(config: settings.GatewaySettings, step_seconds: float = 0.0) -> gateway.Gateway:
     """Start a gateway.
 
--- a/features/steps/cache_namespace_steps.py
+++ b/features/steps/cache_namespace_steps.py
@@ -71,7 +71,7 @@
     change()
     for state in states:
         state.suspended_until = 0.0
-    assert all(request.get().is_whole for request in requests)
+    assert all(r.get(timeout=gateway_support.TIMEOUT_SECONDS).is_whole for r in requests)
 
 
 def send_interrupted(context, teams, fault: standin_worker.Fault, change) -> None:
@@ -86,7 +86,7 @@
     gevent.sleep(EXECUTION_SECONDS)
     for worker in context.site.workers.values():
         worker.fault = standin_worker.Fault.NONE
-    assert all(request.get().is_whole for request in requests)
+    assert all(r.get(timeout=gateway_support.TIMEOUT_SECONDS).is_whole for r in requests)
 
 
 @when('a request of "{team}" waits until the team is isolated')
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -8,9 +8,7 @@
 from bronzemux import clock, quarantine, table
 from bronzemux.gateway import (
     crash_attribution,
-    endpoints,
     gossip,
-    meters,
     quarantine_gossip,
     routers,
     verdict_store,
@@ -189,14 +187,7 @@
     """Return the attribution of crashes of a gateway that has met none."""
     context.clock = clock.FakeClock()
     context.clock.advance(1000.0)
-    return crash_attribution.CrashAttribution(
-        context.clock,
-        quarantine.Quarantine(),
-        endpoints.EndpointTable(),
-        None,
-        meters.GatewayMetrics(),
-        lambda: None,
-    )
+    return gateway_support.crash_attribution_of(context.clock)
 
 
 @when(
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -22,15 +22,12 @@
     watcher,
 )
 from bronzemux.gateway import (
-    crash_attribution,
-    endpoints,
     gateway,
     gossip,
-    meters,
     routers,
     verdict_store,
 )
-from features import head_model
+from features import gateway_support, head_model
 from features.steps import claims_steps, rollout_steps
 
 KEY = "key"
@@ -252,14 +249,7 @@
 
 def make_verdict_store(context, is_following: bool) -> verdict_store.VerdictStore:
     """Return the task of a router that has reached no verdict yet."""
-    crashes = crash_attribution.CrashAttribution(
-        context.clock,
-        quarantine.Quarantine(),
-        endpoints.EndpointTable(),
-        None,
-        meters.GatewayMetrics(),
-        lambda: None,
-    )
+    crashes = gateway_support.crash_attribution_of(context.clock)
     following = types.SimpleNamespace(is_needed=lambda: is_following)
     return verdict_store.VerdictStore(crashes, context.service, following, context.clock)
 
