--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -295,6 +295,11 @@
       main: Called with whether the disruption takes place; returns the breaks, one text each.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    case = gevent.getcurrent()
+    ended = CannotRunError("ended by a signal")
+    gevent.signal_handler(
+        signal.SIGTERM, lambda: gevent.get_hub().loop.run_callback(case.throw, ended)
+    )
     try:
         with gevent.Timeout(115.0, CannotRunError("the case did not end within 115 s")):
             breaks = main(has_trouble)
